--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,589 @@
+//! Every decision of the load balancer. The types it speaks in are in `src/api.rs`.
+//!
+//! Ordinary path: per request draw two ready servers at random and send to the one with the smaller projected
+//! utilisation (m+1)/κ. Read on in the order a request meets it: arrival, survey, draw, send, outcome; then
+//! reports, health, cold starts, the list. `docs/design.md` says when each departure acts and what it earns.
+
+use std::collections::BTreeMap;
+
+use oorandom::Rand64;
+
+use crate::api::*;
+use crate::state::*;
+
+/// A report older than this is renewed when its server is drawn: about one service time.
+const FRESH: Millis = 40.0;
+/// A request whose pair has a report older than this many service times waits for the pair's probes,
+const HOLD_AFTER: f64 = 4.0;
+/// for at most this share of its aim,
+const HOLD_FOR: f64 = 0.15;
+/// and this often.
+const HOLDS: u32 = 2;
+/// What was asked for is one pair, not the fleet: a queue that long at the better of two is long everywhere.
+const HELD_ROOM: f64 = 0.6;
+/// A report older than this says nothing any more; the mean of the known servers stands in.
+const STALE: Millis = 1_000.0;
+/// When more than this share of the reports that can tell are late, none is believed.
+const LATE: f64 = 0.1;
+/// In-flight is averaged over about this time, as servers average their utilisation.
+const MEANS_OVER: Millis = 700.0;
+/// From here on a server counts as saturated: in-flight / utilisation then only bounds κ from above.
+const SATURATED: f64 = 0.9;
+/// A rising κ is believed this much slower.
+const RISE: f64 = 0.1;
+/// Below this reported utilisation in-flight / utilisation is mostly rounding.
+const UTILISATION_FLOOR: f64 = 0.1;
+/// Weight of a new sample in the slowness and the failure rate of one server.
+const SMOOTH: f64 = 0.15;
+/// Weight of a new sample in what all servers or all arrivals feed.
+const SMOOTH_ALL: f64 = 0.02;
+/// The service time assumed at first, as a share of the class's aim.
+const SERVICE_PRIOR: f64 = 0.15;
+/// What was learnt of a server's slowness fades over this time when nothing new is learnt.
+const FORGET: Millis = 2_000.0;
+/// An unanswered send counts as this share of an answer that took as long: service times spread.
+const AGEING: f64 = 0.5;
+/// A send is accepted while its expected answer takes no more than this share of the time left to its aim.
+const ROOM: f64 = 0.6;
+/// Room shrinks while more of what was accepted is late than this: crowded servers slow down unforeseen.
+const LATE_TARGET: f64 = 0.15;
+/// How strongly room depends on what a request earns; 0 is not at all.
+const FAVOUR: f64 = 0.4;
+/// How strongly room makes up for a class that is refused more than the whole.
+const EVEN: f64 = 0.5;
+/// A server this little used, with one request more, counts as idle.
+const IDLE: f64 = 0.5;
+/// Further attempts, as a share of first ones, and how many may be saved up.
+const RETRY_SHARE: f64 = 0.1;
+const RETRY_BURST: f64 = 10.0;
+/// A refused client is asked to stay away for up to this share of its aim.
+const RETRY_AFTER: f64 = 0.3;
+/// An attempt is given at least this multiple of its expected time before another is tried.
+const PATIENCE: f64 = 4.0;
+/// Time left to the aim when another attempt is tried, in service times.
+const RETRY_ROOM: f64 = 1.5;
+/// A server is ejected when its failure rate is this far above that of its peers.
+const EJECT_ABOVE: f64 = 0.4;
+/// At most this share of the servers may be ejected: if more look bad, we or the network may be at fault.
+const EJECT_SHARE: f64 = 0.4;
+/// First and longest time a server stays ejected before a trial.
+const EJECT_FOR: [Millis; 2] = [1_000.0, 8_000.0];
+/// The share of a cold server's allowance that is used: speeds and costs are estimates.
+const COLD_MARGIN: f64 = 0.5;
+/// Discovery is asked within this share of the time in which it must be; doubles with each failure.
+const ASK_OVER: f64 = 0.25;
+
+/// The decision module of one sidecar. The same seed, settings and events give the same actions.
+#[derive(Debug)]
+pub struct Balancer {
+    settings: Settings,
+    rng: Rand64,
+    now: Millis,
+    requests: BTreeMap<RequestId, Held>,
+    upstreams: BTreeMap<UpstreamId, Upstream>,
+    seen: Learnt,
+}
+
+impl Balancer {
+    /// A module that knows nothing yet but its settings.
+    pub fn new(settings: Settings, seed: u64) -> Balancer {
+        // Until answers tell, a service time that leaves room for a queue and another try.
+        let service = settings.classes.iter().map(|class| Service::new(class.aim * SERVICE_PRIOR)).collect();
+        let seen = Learnt::new(service, settings.tenants.len(), RETRY_BURST);
+        Balancer {
+            settings,
+            rng: Rand64::new(u128::from(seed)),
+            now: 0.0,
+            requests: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            seen,
+        }
+    }
+
+    /// Takes in one event and appends the actions that answer it.
+    pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Arrived { request, class, tenant, time_left } => {
+                self.arrived(request, Held::new(class, tenant, self.now, time_left.max(0.0)), out)
+            }
+            Event::Finished(end) => {
+                self.settle(end, out);
+                self.finished(end, out);
+            }
+            Event::Abandoned(request) => self.abandoned(request, out),
+            Event::Probed { upstream, answered, report } => self.probed(upstream, answered, report, out),
+            Event::Listed(news) => self.listed(news, out),
+            Event::Woke(0) if std::mem::take(&mut self.seen.ask_pending) => out.push(Action::Subscribe),
+            Event::Woke(token) => self.resume(token, out),
+        }
+    }
+
+    fn arrived(&mut self, request: RequestId, held: Held, out: &mut Vec<Action>) {
+        if self.requests.contains_key(&request) {
+            return;
+        }
+        if held.class.0 >= self.settings.classes.len() {
+            return out.push(Action::Refuse { request, retry_after: 0.0 });
+        }
+        self.seen.retry_tokens = (self.seen.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
+        for (number, share) in self.seen.tenant_shares.iter_mut().enumerate() {
+            *share += SMOOTH_ALL * (f64::from(u8::from(number == held.tenant.0)) - *share);
+        }
+        let (density, usual) = (self.density(&held), self.seen.usual_density.unwrap_or(self.density(&held)));
+        self.seen.usual_density = Some(usual + SMOOTH_ALL * (density - usual));
+        self.requests.insert(request, held);
+        self.place(request, out);
+    }
+
+    /// Sends a request to the best place there is, or ends it.
+    fn place(&mut self, request: RequestId, out: &mut Vec<Action>) {
+        let Some(held) = self.requests.get(&request).cloned() else { return };
+        let candidates = self.survey(&held);
+        let chosen = self.draw(&candidates, &held, out);
+        // On old readings, sidecars that send seldom crowd onto the same servers, or refuse what has room.
+        if let Some(pair) = chosen.filter(|pair| pair.iter().any(|c| c.unsure)) {
+            return self.hold(request, pair, out);
+        }
+        let refused = f64::from(u8::from(chosen.is_none()));
+        self.seen.refused += SMOOTH_ALL * (refused - self.seen.refused);
+        let class = &mut self.seen.service[held.class.0];
+        class.refused += SMOOTH_ALL * (refused - class.refused);
+        let by_use = chosen.map(|[a, b]| if b.projected < a.projected { [b, a] } else { [a, b] });
+        match by_use.into_iter().flatten().find(|c| self.admits(c)) {
+            Some(chosen) => self.send(request, chosen, candidates.len() > 1, out),
+            None => self.give_up(request, out),
+        }
+    }
+
+    /// Whether a server may be sent one more while it is cold. An equal part of its budget is less than one
+    /// request for each of many sidecars, so chance decides: a server is drawn for at most two of `n`
+    /// requests, and chance leaves it of those what its budget allows, for all sidecars together.
+    fn admits(&mut self, to: &Candidate) -> bool {
+        let share = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth / 2.0 * to.odds;
+        // Where there is no room elsewhere, more requests come than servers can carry, and more to this one.
+        to.warmth >= 1.0 || self.rng.rand_float() < share * (1.0 - self.seen.refused)
+    }
+
+    /// Waits for the probes of a pair. Timers are numbered in 63 bits: two requests may share one.
+    fn hold(&mut self, request: RequestId, pair: [Candidate; 2], out: &mut Vec<Action>) {
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        (held.pair, held.odds, held.holds) = (Some(pair.map(|c| c.id)), pair[0].odds, held.holds + 1);
+        let at = self.now + HOLD_FOR * self.settings.classes[held.class.0].aim;
+        out.push(Action::WakeAt { at: at.min(held.deadline), token: request.0 >> 1 });
+    }
+
+    /// Goes on with what is held until this timer.
+    fn resume(&mut self, token: u64, out: &mut Vec<Action>) {
+        for request in [token << 1, token << 1 | 1].map(RequestId) {
+            if self.requests.get(&request).is_some_and(|held| held.pair.is_some()) {
+                self.place(request, out);
+            }
+        }
+    }
+
+    /// The share of the time left to its aim that a request's wait may take. Under overload queues fill up
+    /// to it, so work that earns less for its service time than the usual is the first to be refused.
+    fn room(&self, held: &Held) -> f64 {
+        let density = self.density(held);
+        let worth = (density / self.seen.usual_density.unwrap_or(density)).powf(FAVOUR).clamp(0.5, 1.5);
+        // By worth alone one class would bear all refusals.
+        let even = (1.0 + EVEN * (self.seen.service[held.class.0].refused - self.seen.refused)).max(0.5);
+        self.seen.room_scale * ROOM * worth * even
+    }
+
+    /// What a request earns for its service time. No sidecar can know which tenants are over their share;
+    /// those with more of our arrivals than of all quotas are the likeliest.
+    fn density(&self, held: &Held) -> f64 {
+        let quotas: f64 = self.settings.tenants.iter().map(|tenant| tenant.quota_per_s).sum();
+        let quota = self.settings.tenants.get(held.tenant.0).map_or(0.0, |tenant| tenant.quota_per_s);
+        let share = self.seen.tenant_shares.get(held.tenant.0).copied().unwrap_or(0.0);
+        let within = if quota > 0.0 && share > 0.0 { (quota / quotas / share).min(1.0) } else { 1.0 };
+        let worth = self.settings.classes[held.class.0].worth;
+        worth * (within + (1.0 - within) * self.settings.over_quota_worth)
+            / self.seen.service[held.class.0].time.max(1.0)
+    }
+
+    /// Time until the answer loses its worth.
+    fn aim_left(&self, held: &Held) -> Millis {
+        held.deadline.min(held.arrived + self.settings.classes[held.class.0].aim) - self.now
+    }
+
+    /// Ends a request: refused where that is safe to say, else failed.
+    fn give_up(&mut self, request: RequestId, out: &mut Vec<Action>) {
+        let Some(held) = self.requests.remove(&request) else { return };
+        let safe = match self.settings.classes[held.class.0].effect {
+            Effect::Repeatable | Effect::ByKey { scope: Scope::All, .. } => true,
+            Effect::ByKey { .. } | Effect::Once => !held.tries.iter().any(|t| t.may_have_run),
+        };
+        if safe {
+            // Soon enough to make its aim yet, and spread: all that were refused together come back.
+            let soon = RETRY_AFTER * self.settings.classes[held.class.0].aim * self.rng.rand_float();
+            out.push(Action::Refuse { request, retry_after: soon.min(self.settings.limits.max_retry_after) });
+        } else {
+            out.push(Action::Fail(request));
+        }
+    }
+
+    // --- The survey of servers ---------------------------------------------------------------
+
+    /// The servers a request may go to now, each with its projected utilisation and expected answer time.
+    fn survey(&self, held: &Held) -> Vec<Candidate> {
+        let service = self.seen.service[held.class.0].time;
+        let means = Means::of(self.upstreams.values(), self.now - STALE);
+        let spare = self.aim_left(held) > 2.0 * HOLD_FOR * self.settings.classes[held.class.0].aim;
+        let may_hold = self.settings.limits.probes && held.holds < HOLDS && spare;
+        let mut candidates = Vec::with_capacity(self.upstreams.len());
+        for (&id, upstream) in &self.upstreams {
+            if !upstream.serving || !self.may_reach(held, upstream) {
+                continue;
+            }
+            let (in_flight, kappa) = (self.in_flight(upstream, &means), self.kappa(upstream));
+            let warmth = upstream.warmth(self.now, &self.settings.safety);
+            let slowness = self.slowness(upstream) / warmth;
+            let depth = ((in_flight + 1.0) / kappa).max(1.0);
+            candidates.push(Candidate {
+                id,
+                near: upstream.zone == self.settings.zone,
+                unsure: may_hold && self.now - upstream.reported_at > HOLD_AFTER * service,
+                healthy: self.takes_part(upstream),
+                projected: (in_flight + 1.0) / kappa * slowness,
+                depth,
+                // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
+                idle: in_flight + 1.0 <= (IDLE * kappa).max(1.5),
+                wait: service * slowness * depth,
+                warmth,
+                odds: 1.0,
+            });
+        }
+        candidates
+    }
+
+    /// Whether a further send may go to a server, by what may have run already.
+    fn may_reach(&self, held: &Held, upstream: &Upstream) -> bool {
+        let Some(first) = held.tries.iter().find(|t| t.out || t.may_have_run) else { return true };
+        match self.settings.classes[held.class.0].effect {
+            Effect::Repeatable => true,
+            Effect::Once => false,
+            // The window counts from the first send that may have run; a tick is kept in hand.
+            Effect::ByKey { scope, window } => {
+                let in_scope = match scope {
+                    Scope::All => true,
+                    Scope::Zone => upstream.zone == first.zone,
+                    Scope::Cell => upstream.cell == first.cell,
+                };
+                in_scope && self.now + self.settings.limits.tick < first.sent + window
+            }
+        }
+    }
+
+    /// κ: from the server's own reports, which fade into those of its kind: a small sidecar hears from one
+    /// server too seldom to know it. Before any report of the kind, its listed weight and the mean of all.
+    fn kappa(&self, upstream: &Upstream) -> f64 {
+        let ratio = |kind: &Kind| (kind.reports > 0.0).then(|| kind.in_flight / kind.utilisation);
+        let listed = upstream.weight * ratio(&self.seen.fleet).unwrap_or(1.0);
+        let kind = self.seen.kinds.get(&upstream.kind).and_then(ratio).unwrap_or(listed);
+        let fade = (-(self.now - upstream.reported_at) / FORGET).exp();
+        (kind + (upstream.kappa.unwrap_or(kind) - kind) * fade).max(0.1)
+    }
+
+    /// m: the last report and our sends since; an unheard server takes the mean m of the known ones.
+    fn in_flight(&self, upstream: &Upstream, means: &Means) -> f64 {
+        let own = upstream.outstanding.len() as f64;
+        if self.now - upstream.reported_at > STALE || self.seen.lateness > LATE {
+            return means.in_flight + own;
+        }
+        let since = upstream.outstanding.iter().filter(|o| o.sent >= upstream.counted_from).count();
+        // A report below what we ourselves have out there is old, whatever it says.
+        (upstream.reported + since as f64).max(own)
+    }
+
+    /// Service time relative to the mean server, from answers and from sends that are long unanswered.
+    fn slowness(&self, upstream: &Upstream) -> f64 {
+        let learnt = self.remembered(upstream);
+        // A server that hangs gives no answers to learn from: the time since its last one tells.
+        let ageing = upstream.outstanding.first().map_or(0.0, |oldest| {
+            AGEING * (self.now - oldest.sent.max(upstream.answered_at))
+                / (oldest.to.depth * self.seen.service[oldest.class.0].time)
+        });
+        learnt.max(ageing).max(0.05)
+    }
+
+    /// What answers told of its slowness; as that is forgotten, the slowness of its kind takes its place.
+    fn remembered(&self, upstream: &Upstream) -> f64 {
+        let kind = self.seen.kinds.get(&upstream.kind).filter(|kind| kind.answers > 0.0);
+        let pace = kind.unwrap_or(&self.seen.fleet).pace;
+        pace + (upstream.slowness - pace) * (-(self.now - upstream.learnt_at) / FORGET).exp()
+    }
+
+    fn takes_part(&self, upstream: &Upstream) -> bool {
+        match upstream.health {
+            Health::Ready => true,
+            // Half-open after a while: one trial at a time.
+            Health::Ejected { until, .. } => self.now >= until && upstream.outstanding.is_empty(),
+        }
+    }
+
+    // --- The draw ----------------------------------------------------------------------------
+
+    /// Two random servers among those with room, near ones first; the smaller projected utilisation wins.
+    fn draw(&mut self, all: &[Candidate], held: &Held, out: &mut Vec<Action>) -> Option<[Candidate; 2]> {
+        let aim_left = self.aim_left(held);
+        let room = self.room(held) * aim_left * if held.holds > 0 { HELD_ROOM } else { 1.0 };
+        let mut open: Vec<Candidate> = all.iter().filter(|c| c.healthy).copied().collect();
+        if open.is_empty() {
+            // Everyone looks bad: rather ask someone than no one.
+            open = all.to_vec();
+        }
+        // An idle server always has room: else a service time learnt in a jam would lock everyone out.
+        open.retain(|c| c.unsure || c.idle || c.wait <= room);
+        // With roughly exponential answer times one expected at `wait` misses its aim with probability
+        // exp(-aim/wait): while that is below the fee, crossing does not pay.
+        let fee = self.settings.crossing_fee;
+        let near_limit = if fee > 0.0 { aim_left / (1.0 / fee).ln().max(1.0) } else { 0.0 };
+        let near = |c: &Candidate| c.near && (c.wait <= near_limit || c.unsure && fee > 0.0);
+        let limit = |c: &Candidate| if held.holds == 1 && c.near { near_limit.min(room) } else { room };
+        let suits = |c: &Candidate| held.pair.is_some_and(|p| p.contains(&c.id)) && c.wait <= limit(c);
+        let known = open.iter().any(suits);
+        if known {
+            open.retain(suits);
+        } else if held.holds == 0 && open.iter().any(near) {
+            open.retain(near);
+        }
+        let odds = if known { held.odds } else { open.len() as f64 / all.len() as f64 };
+        open.iter_mut().for_each(|c| c.odds = odds);
+        let pair = self.pair(&open)?;
+        pair.iter().for_each(|drawn| self.probe(drawn.id, out));
+        Some(pair)
+    }
+
+    /// A random pair of distinct members; the one there is, twice, where there is only one.
+    fn pair(&mut self, open: &[Candidate]) -> Option<[Candidate; 2]> {
+        let count = (open.len() as u64).checked_sub(1)? + 1;
+        let first = self.rng.rand_range(0..count);
+        let step = if count > 1 { self.rng.rand_range(1..count) } else { 0 };
+        Some([first, (first + step) % count].map(|at| open[at as usize]))
+    }
+
+    fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
+        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
+        let waiting = upstream.probe_sent.is_some_and(|sent| self.now - sent < STALE);
+        if self.settings.limits.probes && !waiting && self.now - upstream.reported_at > FRESH {
+            upstream.probe_sent = Some(self.now);
+            out.push(Action::Probe(id));
+        }
+    }
+
+    fn send(&mut self, request: RequestId, to: Candidate, others: bool, out: &mut Vec<Action>) {
+        let Some(held) = self.requests.get(&request) else { return };
+        let timeout = self.timeout(held, to, others);
+        let (class, attempt) = (held.class, AttemptNo(held.tries.len() as u32));
+        let sent = self.now;
+        let Some(upstream) = self.upstreams.get_mut(&to.id) else { return };
+        upstream.outstanding.push(Outstanding { request, attempt, class, sent, to });
+        let this = Try { zone: upstream.zone, cell: upstream.cell, sent, out: true, may_have_run: true };
+        if let Some(held) = self.requests.get_mut(&request) {
+            held.tries.push(this);
+            held.pair = None;
+        }
+        out.push(Action::Send { request, upstream: to.id, timeout });
+    }
+
+    /// Long enough for this attempt, short enough for another to make the aim.
+    fn timeout(&self, held: &Held, to: Candidate, others: bool) -> Millis {
+        let left = (held.deadline - self.now).max(0.0);
+        let class = &self.settings.classes[held.class.0];
+        let last = held.tries.len() as u32 + 1 >= self.settings.limits.max_attempts;
+        if last || !others || class.effect == Effect::Once || self.seen.retry_tokens < 1.0 {
+            return left;
+        }
+        let spare = held.arrived + class.aim - self.now - RETRY_ROOM * self.seen.service[held.class.0].time;
+        spare.max(PATIENCE * to.wait).min(left)
+    }
+
+    /// Goes on with the request after an attempt has ended.
+    fn finished(&mut self, end: Finished, out: &mut Vec<Action>) {
+        let (request, outcome) = (end.request, end.outcome);
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        let Some(this) = held.tries.get_mut(end.attempt.0 as usize).filter(|t| t.out) else { return };
+        this.out = false;
+        // A jam once fed itself: answers that servers were full came soon, and made room as if in time.
+        let full = outcome == Outcome::Full;
+        let late = full || self.now > held.arrived + self.settings.classes[held.class.0].aim;
+        let step = if full { SMOOTH } else { SMOOTH_ALL } * (LATE_TARGET - f64::from(u8::from(late)));
+        self.seen.room_scale = (self.seen.room_scale * (1.0 + step)).clamp(0.25, 1.0);
+        this.may_have_run = outcome.may_have_run();
+        if end.closed || outcome == Outcome::Ok {
+            return self.abandoned(request, out);
+        }
+        let held = held.clone();
+        let attempts_left = (held.tries.len() as u32) < self.settings.limits.max_attempts;
+        let worth_it = self.aim_left(&held) > 0.0 && outcome != Outcome::NotSent;
+        if attempts_left && worth_it && self.seen.retry_tokens >= 1.0 {
+            self.seen.retry_tokens -= 1.0;
+            self.place(request, out);
+        } else {
+            self.give_up(request, out);
+        }
+    }
+
+    /// Forgets a request that has its answer, and stops what is still out for it.
+    fn abandoned(&mut self, request: RequestId, out: &mut Vec<Action>) {
+        let Some(held) = self.requests.remove(&request) else { return };
+        let cancel = self.settings.limits.cancel;
+        for (number, _) in held.tries.iter().enumerate().filter(|(_, t)| t.out && cancel) {
+            out.push(Action::Cancel { request, attempt: AttemptNo(number as u32) });
+        }
+    }
+
+    /// Learns from an attempt's end, whether or not its request is still held.
+    fn settle(&mut self, end: Finished, out: &mut Vec<Action>) {
+        let Finished { upstream: id, outcome, latency, .. } = end;
+        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
+        let Some(sent) = upstream.take(end.request, end.attempt) else { return };
+        let silent = upstream.answered_at <= sent.sent;
+        if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
+            self.learn(id, sent, latency, outcome == Outcome::Ok);
+        }
+        if let Some(report) = end.report {
+            self.take_report(id, report, self.now);
+        }
+        let failed = match outcome {
+            Outcome::Ok => false,
+            Outcome::Error | Outcome::Unreachable | Outcome::Reset => true,
+            // Under overload good servers time out too; one that answered nothing in all that time hangs.
+            Outcome::TimedOut if silent && latency >= PATIENCE * sent.to.wait => true,
+            _ => return,
+        };
+        self.judge(id, failed, out);
+    }
+
+    /// An answer tells the class's service time and this server's pace, with the queue taken out; a time-out
+    /// tells that the server is at least this slow.
+    fn learn(&mut self, id: UpstreamId, sent: Outstanding, latency: Millis, answered: bool) {
+        // What a cold server takes longer is no sign of crowding, nor of the speed it will have.
+        let Some(server) = self.upstreams.get(&id).filter(|_| latency > 0.0) else { return };
+        let (known, warmth) = (self.remembered(server), server.warmth(self.now, &self.settings.safety));
+        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
+        let alone = latency * warmth / sent.to.depth;
+        let service = &mut self.seen.service[sent.class.0];
+        let pace = alone / service.time;
+        let (seen, weight) = if answered { (pace, SMOOTH) } else { (known.max(AGEING * pace), 1.0) };
+        upstream.slowness = known + weight * (seen - known);
+        upstream.learnt_at = self.now;
+        self.seen.kinds.entry(upstream.kind).or_default().answered(seen, SMOOTH_ALL);
+        self.seen.fleet.answered(seen, SMOOTH_ALL);
+        upstream.answered_at = if answered { self.now } else { upstream.answered_at };
+        // The median of sends that met no queue tells the service time: behind one that we underrate, answers
+        // are late, and a service time learnt from them would have us refuse work that there is room for.
+        if answered && sent.to.depth <= 1.0 {
+            service.add(alone, SMOOTH_ALL);
+        }
+    }
+
+    fn probed(&mut self, id: UpstreamId, answered: bool, report: Option<Report>, out: &mut Vec<Action>) {
+        self.heard(id, answered, report);
+        let heard = |id: &UpstreamId| self.upstreams.get(id).is_none_or(|u| u.probe_sent.is_none());
+        let ready = |held: &Held| held.pair.is_some_and(|p| p.contains(&id) && p.iter().all(heard));
+        let held: Vec<_> = self.requests.iter().filter(|(_, h)| ready(h)).map(|(id, _)| *id).collect();
+        held.into_iter().for_each(|request| self.place(request, out));
+    }
+
+    fn heard(&mut self, id: UpstreamId, answered: bool, report: Option<Report>) {
+        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
+        let asked_at = upstream.probe_sent.take().unwrap_or(self.now);
+        let (Some(report), true) = (report, answered) else { return };
+        // Reports carry no age. One that lacks what we had out there when we asked is late, and
+        // when many are, none is believed: each server then counts as unheard.
+        let ours = upstream.outstanding.iter().filter(|o| o.sent < asked_at).count() as f64;
+        if let Some(in_flight) = report.in_flight.filter(|_| ours > 1.0) {
+            let late = f64::from(u8::from(in_flight + 1.0 < ours));
+            self.seen.lateness += SMOOTH_ALL * (late - self.seen.lateness);
+        }
+        self.take_report(id, report, asked_at);
+    }
+
+    /// Takes in a server's own figures; sends from `asked_at` on are not in them.
+    fn take_report(&mut self, id: UpstreamId, report: Report, asked_at: Millis) {
+        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
+        let Some(in_flight) = report.in_flight.filter(|m| m.is_finite() && *m >= 0.0) else { return };
+        // Utilisation is a running mean while in-flight is of the moment: only means of both may be divided.
+        let weight = 1.0 - (-(self.now - upstream.reported_at) / MEANS_OVER).exp();
+        upstream.reported = in_flight;
+        upstream.reported_at = self.now;
+        upstream.counted_from = asked_at;
+        upstream.mean_in_flight += weight * (in_flight - upstream.mean_in_flight);
+        let Some(utilisation) = report.utilisation.filter(|u| *u >= UTILISATION_FLOOR) else { return };
+        // Servers that start with us begin their mean at 0: early ratios would call them huge.
+        if self.now < *self.seen.first_at.get_or_insert(self.now) + 2.0 * MEANS_OVER {
+            return;
+        }
+        if utilisation < SATURATED {
+            self.seen.kinds.entry(upstream.kind).or_default().reported(in_flight, utilisation, SMOOTH_ALL);
+            self.seen.fleet.reported(in_flight, utilisation, SMOOTH_ALL);
+        }
+        // A queue is in the in-flight count, too, so a reading only bounds κ from above: it
+        // falls to the reading at once, but rises slowly, and not at all while all cores are busy.
+        let rise = if utilisation < SATURATED { weight * RISE } else { 0.0 };
+        let sample = (upstream.mean_in_flight / utilisation.min(1.0)).max(1.0);
+        let known = *upstream.kappa.get_or_insert(sample);
+        upstream.kappa = Some(known + (sample - known) * if sample < known { 1.0 } else { rise });
+    }
+
+    /// Counts an outcome for or against a server: outlier ejection with half-open trials.
+    fn judge(&mut self, id: UpstreamId, failed: bool, out: &mut Vec<Action>) {
+        let serving: Vec<&Upstream> = self.upstreams.values().filter(|u| u.serving).collect();
+        let count = serving.len() as f64;
+        let bar = EJECT_ABOVE + serving.iter().map(|u| u.failure_rate).sum::<f64>() / count.max(1.0);
+        let ejected = serving.iter().filter(|u| u.health != Health::Ready).count() as f64;
+        let may_eject = count > 1.0 && ejected + 1.0 <= (EJECT_SHARE * count).max(1.0);
+        let (now, spread) = (self.now, 0.75 + 0.5 * self.rng.rand_float());
+        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
+        upstream.failure_rate += SMOOTH * (f64::from(u8::from(failed)) - upstream.failure_rate);
+        let eject = |wait: Millis| Health::Ejected { until: now + wait * spread, wait };
+        match upstream.health {
+            Health::Ready if failed && may_eject && upstream.failure_rate > bar => {
+                upstream.health = eject(EJECT_FOR[0]);
+                out.push(Action::Log(format!("server {} ejected for failures", id.0)));
+            }
+            Health::Ejected { until, wait } if failed && now >= until => {
+                upstream.health = eject((wait * 2.0).min(EJECT_FOR[1]));
+            }
+            Health::Ejected { .. } if !failed && upstream.failure_rate < bar => {
+                upstream.health = Health::Ready;
+                out.push(Action::Log(format!("server {} is back after trials", id.0)));
+            }
+            Health::Ready | Health::Ejected { .. } => {}
+        }
+    }
+
+    // --- The server list ---------------------------------------------------------------------
+
+    fn listed(&mut self, news: ListNews, out: &mut Vec<Action>) {
+        let failed = news == ListNews::Unavailable;
+        let must_ask = failed || matches!(news, ListNews::Restored(_));
+        if matches!(news, ListNews::Restored(_) | ListNews::Complete(_)) {
+            // Who is missing from a complete list is gone.
+            self.upstreams.values_mut().for_each(|upstream| upstream.serving = false);
+        }
+        match news {
+            ListNews::Restored(list) | ListNews::Complete(list) | ListNews::Changed(list) => {
+                list.iter().for_each(|entry| self.update(entry));
+            }
+            ListNews::Unavailable => out.push(Action::Log("server list unavailable".to_owned())),
+        }
+        self.upstreams.retain(|_, upstream| upstream.serving || !upstream.outstanding.is_empty());
+        let Discovery::Subscribed { must_ask_in } = self.settings.discovery else { return };
+        self.seen.ask_wait =
+            if failed { (2.0 * self.seen.ask_wait).min(must_ask_in) } else { ASK_OVER * must_ask_in };
+        if must_ask && !std::mem::replace(&mut self.seen.ask_pending, true) {
+            // Full jitter: many may have restarted or been cut off together, and the list serves few at once.
+            let at = self.now + self.seen.ask_wait * self.rng.rand_float();
+            out.push(Action::WakeAt { at, token: 0 });
+        }
+    }
+
+    fn update(&mut self, entry: &Listing) {
+        self.upstreams.entry(entry.upstream).or_insert_with(|| Upstream::new(entry)).relist(entry);
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+#![doc = include_str!("../README.md")]
+
+pub mod api;
+pub mod brain;
+mod state;
+
+pub use brain::Balancer;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,280 @@
+//! The records that the decision module keeps. Nothing is decided here.
+
+use std::collections::BTreeMap;
+
+use crate::api::*;
+
+/// One send of a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Try {
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub sent: Millis,
+    pub out: bool,
+    pub may_have_run: bool,
+}
+
+/// A request that is owed an answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Held {
+    pub class: ClassId,
+    pub tenant: TenantId,
+    pub arrived: Millis,
+    pub deadline: Millis,
+    pub tries: Vec<Try>,
+    /// The pair drawn for it while its probes are out, and how often it was held for one.
+    pub pair: Option<[UpstreamId; 2]>,
+    /// The share of all candidates that it was drawn from.
+    pub odds: f64,
+    pub holds: u32,
+}
+
+impl Held {
+    pub fn new(class: ClassId, tenant: TenantId, arrived: Millis, time_left: Millis) -> Held {
+        let deadline = arrived + time_left;
+        Held { class, tenant, arrived, deadline, tries: Vec::new(), pair: None, odds: 1.0, holds: 0 }
+    }
+}
+
+/// One of our sends that a server has not answered.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Outstanding {
+    pub request: RequestId,
+    pub attempt: AttemptNo,
+    pub class: ClassId,
+    pub sent: Millis,
+    /// The server as it looked then.
+    pub to: Candidate,
+}
+
+/// What is known of one class, times from answers that met no queue.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Service {
+    /// Running median.
+    pub time: Millis,
+    pub samples: f64,
+    /// Share of its arrivals that was refused.
+    pub refused: f64,
+}
+
+impl Service {
+    pub fn new(time: Millis) -> Service {
+        Service { time, samples: 0.0, refused: 0.0 }
+    }
+
+    /// Steps the median towards a sample, at first in larger steps.
+    pub fn add(&mut self, sample: Millis, step: f64) {
+        self.samples += 1.0;
+        let step = self.time * step.max(0.5 / self.samples);
+        self.time += if sample > self.time { step } else { -step };
+    }
+}
+
+/// What is known of one kind of machine, or of all of them.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Kind {
+    /// Running means of what its servers report; their ratio is κ.
+    pub in_flight: f64,
+    pub utilisation: f64,
+    pub reports: f64,
+    /// Geometric running mean of its service time relative to the mean server's.
+    pub pace: f64,
+    pub answers: f64,
+}
+
+impl Default for Kind {
+    fn default() -> Kind {
+        Kind { in_flight: 0.0, utilisation: 0.0, reports: 0.0, pace: 1.0, answers: 0.0 }
+    }
+}
+
+impl Kind {
+    /// Averages in a server's report, the first ones evenly.
+    pub fn reported(&mut self, in_flight: f64, utilisation: f64, step: f64) {
+        self.reports += 1.0;
+        let step = step.max(1.0 / self.reports);
+        self.in_flight += step * (in_flight - self.in_flight);
+        self.utilisation += step * (utilisation - self.utilisation);
+    }
+
+    /// Averages in an answer's time relative to the mean server's.
+    pub fn answered(&mut self, pace: f64, step: f64) {
+        self.answers += 1.0;
+        self.pace *= (pace.max(0.01) / self.pace).powf(step.max(1.0 / (1.0 + self.answers)));
+    }
+}
+
+/// What one sidecar has learnt of its surroundings as a whole.
+#[derive(Debug)]
+pub(crate) struct Learnt {
+    /// By class.
+    pub service: Vec<Service>,
+    /// By kind of machine, and of all together.
+    pub kinds: BTreeMap<KindId, Kind>,
+    pub fleet: Kind,
+    /// Share of the arrivals that no server had room for.
+    pub refused: f64,
+    pub retry_tokens: f64,
+    /// Room shrinks to this share of the usual while answers are late.
+    pub room_scale: f64,
+    /// Worth per service time of the mean arrival.
+    pub usual_density: Option<f64>,
+    /// Each tenant's share of our arrivals.
+    pub tenant_shares: Vec<f64>,
+    /// Share of the telling reports that were late.
+    pub lateness: f64,
+    /// When the first report came.
+    pub first_at: Option<Millis>,
+    /// The span over which the next call to discovery is spread, and whether one is to come.
+    pub ask_wait: Millis,
+    pub ask_pending: bool,
+}
+
+impl Learnt {
+    pub fn new(service: Vec<Service>, tenants: usize, retry_tokens: f64) -> Learnt {
+        Learnt {
+            service,
+            kinds: BTreeMap::new(),
+            fleet: Kind::default(),
+            refused: 0.0,
+            retry_tokens,
+            room_scale: 1.0,
+            usual_density: None,
+            tenant_shares: vec![0.0; tenants],
+            lateness: 0.0,
+            first_at: None,
+            ask_wait: 0.0,
+            ask_pending: false,
+        }
+    }
+}
+
+/// Whether a server takes part in the draw.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Health {
+    Ready,
+    Ejected { until: Millis, wait: Millis },
+}
+
+/// What is known of one server.
+#[derive(Debug, Clone)]
+pub(crate) struct Upstream {
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub kind: KindId,
+    pub serving: bool,
+    pub weight: f64,
+    pub started: Option<Millis>,
+    pub kappa: Option<f64>,
+    /// Running mean of the reports.
+    pub mean_in_flight: f64,
+    /// In flight by the last report, less those of ours that have been answered since.
+    pub reported: f64,
+    pub reported_at: Millis,
+    /// Sends from here on are not in the last report.
+    pub counted_from: Millis,
+    pub probe_sent: Option<Millis>,
+    pub outstanding: Vec<Outstanding>,
+    /// Service time relative to the mean of all servers.
+    pub slowness: f64,
+    pub learnt_at: Millis,
+    pub answered_at: Millis,
+    pub failure_rate: f64,
+    pub health: Health,
+}
+
+/// A server as one request sees it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Candidate {
+    pub id: UpstreamId,
+    pub near: bool,
+    /// Its load is not known of late, and may yet be asked for before the request is placed.
+    pub unsure: bool,
+    pub healthy: bool,
+    pub warmth: f64,
+    /// The share of all candidates that its pair was drawn from.
+    pub odds: f64,
+    pub projected: f64,
+    /// How many times its own service time an answer is expected to take, for the queue before it.
+    pub depth: f64,
+    pub idle: bool,
+    pub wait: Millis,
+}
+
+/// Means over the known servers, which stand in for what is not known of others.
+pub(crate) struct Means {
+    pub in_flight: f64,
+}
+
+impl Upstream {
+    pub fn new(entry: &Listing) -> Upstream {
+        Upstream {
+            zone: entry.zone,
+            cell: entry.cell,
+            kind: entry.kind,
+            serving: entry.lifecycle == Lifecycle::Serving,
+            weight: entry.weight,
+            started: entry.started,
+            kappa: None,
+            mean_in_flight: 0.0,
+            reported: 0.0,
+            reported_at: f64::NEG_INFINITY,
+            counted_from: f64::NEG_INFINITY,
+            probe_sent: None,
+            outstanding: Vec::new(),
+            slowness: 1.0,
+            learnt_at: f64::NEG_INFINITY,
+            answered_at: f64::NEG_INFINITY,
+            failure_rate: 0.0,
+            health: Health::Ready,
+        }
+    }
+
+    /// Takes over what discovery says. A new life under the same id leaves nothing known but what is out.
+    pub fn relist(&mut self, entry: &Listing) {
+        if entry.started.is_some_and(|at| self.started.is_none_or(|known| at > known)) {
+            let outstanding = std::mem::take(&mut self.outstanding);
+            *self = Upstream { outstanding, ..Upstream::new(entry) };
+        }
+        self.zone = entry.zone;
+        self.cell = entry.cell;
+        self.kind = entry.kind;
+        self.serving = entry.lifecycle == Lifecycle::Serving;
+        self.weight = if entry.weight.is_finite() && entry.weight > 0.0 { entry.weight } else { 1.0 };
+    }
+
+    /// The share of its capacity that a server surely has: a line from the cold share to all of it.
+    pub fn warmth(&self, now: Millis, safety: &Safety) -> f64 {
+        match self.started {
+            Some(started) if now < started + safety.warm_up => {
+                let age = (now - started).max(0.0);
+                (safety.cold_share + (1.0 - safety.cold_share) * age / safety.warm_up).max(0.01)
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Strikes a send off the books.
+    pub fn take(&mut self, request: RequestId, attempt: AttemptNo) -> Option<Outstanding> {
+        let matching = |o: &Outstanding| o.request == request && o.attempt == attempt;
+        let sent = self.outstanding.remove(self.outstanding.iter().position(matching)?);
+        if sent.sent < self.counted_from {
+            self.reported = (self.reported - 1.0).max(0.0);
+        }
+        Some(sent)
+    }
+}
+
+impl Means {
+    /// Over the serving servers; in flight is that of others, from reports since a given time.
+    pub fn of<'a>(upstreams: impl Iterator<Item = &'a Upstream>, heard_since: Millis) -> Means {
+        let (mut in_flight, mut heard) = (0.0, 0.0);
+        for upstream in upstreams.filter(|upstream| upstream.serving) {
+            if upstream.reported_at >= heard_since {
+                in_flight += upstream.reported - upstream.outstanding.len() as f64;
+                heard += 1.0;
+            }
+        }
+        Means { in_flight: if heard > 0.0 { f64::max(in_flight / heard, 0.0) } else { 0.0 } }
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,149 @@
+//! A small stage for the module: settings, servers and events, without any bench.
+#![allow(dead_code)]
+
+use mulleinvale::Balancer;
+use mulleinvale::api::*;
+
+pub const REPEATABLE: ClassId = ClassId(0);
+pub const BY_CELL: ClassId = ClassId(1);
+pub const ONCE: ClassId = ClassId(2);
+pub const BY_ZONE: ClassId = ClassId(3);
+pub const BY_ALL: ClassId = ClassId(4);
+
+pub fn class(effect: Effect) -> Class {
+    Class { aim: 200.0, worth: 1.0, late_worth: 0.0, effect }
+}
+
+pub fn keyed(scope: Scope) -> Class {
+    class(Effect::ByKey { scope, window: 300.0 })
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        classes: vec![
+            class(Effect::Repeatable),
+            keyed(Scope::Cell),
+            class(Effect::Once),
+            keyed(Scope::Zone),
+            keyed(Scope::All),
+        ],
+        tenants: Vec::new(),
+        over_quota_worth: 1.0,
+        zone: ZoneId(0),
+        sidecars: 2,
+        crossing_fee: 0.0,
+        limits: Limits {
+            max_attempts: 4,
+            duplicates: false,
+            probes: true,
+            cancel: true,
+            max_retry_after: 400.0,
+            tick: 4.0,
+        },
+        safety: Safety { cold_share: 0.2, warm_up: 20_000.0, fall_multiple: 2.5, fall: 2_000.0 },
+        discovery: Discovery::Pushed,
+    }
+}
+
+pub fn listing(id: u64) -> Listing {
+    Listing {
+        upstream: UpstreamId(id),
+        zone: ZoneId(0),
+        cell: CellId(id / 10),
+        kind: KindId(0),
+        lifecycle: Lifecycle::Serving,
+        weight: 1.0,
+        started: None,
+    }
+}
+
+/// Drives one module and keeps what it did last.
+pub struct Stage {
+    pub balancer: Balancer,
+    pub now: Millis,
+    next: u64,
+}
+
+impl Stage {
+    pub fn new(settings: Settings, servers: Vec<Listing>) -> Stage {
+        Stage::seeded(settings, servers, 7)
+    }
+
+    pub fn seeded(settings: Settings, servers: Vec<Listing>, seed: u64) -> Stage {
+        let mut stage = Stage { balancer: Balancer::new(settings, seed), now: 1_000.0, next: 0 };
+        stage.event(Event::Listed(ListNews::Restored(servers)));
+        stage
+    }
+
+    /// Reports the same from all these servers for long enough to be believed.
+    pub fn settle(&mut self, ids: &[u64], in_flight: f64, utilisation: f64) {
+        for _ in 0..40 {
+            self.now += 50.0;
+            ids.iter().for_each(|id| self.report(*id, in_flight, utilisation));
+        }
+    }
+
+    pub fn event(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.balancer.handle(self.now, event, &mut out);
+        out
+    }
+
+    /// A request comes in; its id and what was done. Where it is held for probes, none is answered.
+    pub fn arrive(&mut self, class: ClassId) -> (RequestId, Vec<Action>) {
+        self.next += 1;
+        let request = RequestId(self.next);
+        let event = Event::Arrived { request, class, tenant: TenantId(0), time_left: 500.0 };
+        let mut actions = self.event(event);
+        while let Some(Action::WakeAt { token, .. }) = actions.last().cloned() {
+            actions.extend(self.event(Event::Woke(token)));
+        }
+        (request, actions)
+    }
+
+    pub fn finish(
+        &mut self,
+        request: RequestId,
+        attempt: u32,
+        upstream: UpstreamId,
+        outcome: Outcome,
+        latency: Millis,
+    ) -> Vec<Action> {
+        self.event(Event::Finished(Finished {
+            request,
+            attempt: AttemptNo(attempt),
+            upstream,
+            outcome,
+            latency,
+            closed: outcome == Outcome::Ok,
+            report: None,
+        }))
+    }
+
+    pub fn report(&mut self, id: u64, in_flight: f64, utilisation: f64) {
+        self.probed(id, in_flight, utilisation);
+    }
+
+    /// The same, with what was done upon it.
+    pub fn probed(&mut self, id: u64, in_flight: f64, utilisation: f64) -> Vec<Action> {
+        let report =
+            Report { in_flight: Some(in_flight), utilisation: Some(utilisation), ..Report::default() };
+        self.event(Event::Probed { upstream: UpstreamId(id), answered: true, report: Some(report) })
+    }
+}
+
+/// Where the first send among these actions goes.
+pub fn sent_to(actions: &[Action]) -> Option<UpstreamId> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { upstream, .. } => Some(*upstream),
+        _ => None,
+    })
+}
+
+pub fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Refuse { .. }))
+}
+
+pub fn failed(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Fail(_)))
+}
--- /dev/null
+++ b/tests/deployments.rs
@@ -0,0 +1,75 @@
+//! Settings of deployments that nobody has described: decisions stay sensible.
+
+mod common;
+
+use common::*;
+use mulleinvale::api::*;
+
+/// Serves 300 requests, answering each send after `took`; how many were served.
+fn serve(settings: Settings, servers: Vec<Listing>, piggyback: bool) -> (usize, usize) {
+    let mut stage = Stage::new(settings, servers);
+    let (mut served, mut probes) = (0, 0);
+    for _ in 0..300 {
+        stage.now += 30.0;
+        let (request, actions) = stage.arrive(REPEATABLE);
+        probes += actions.iter().filter(|action| matches!(action, Action::Probe(_))).count();
+        let Some(upstream) = sent_to(&actions) else { continue };
+        let report = Report { in_flight: Some(2.0), utilisation: Some(0.5), ..Report::default() };
+        stage.event(Event::Finished(Finished {
+            request,
+            attempt: AttemptNo(0),
+            upstream,
+            outcome: Outcome::Ok,
+            latency: 25.0,
+            closed: true,
+            report: piggyback.then_some(report),
+        }));
+        served += 1;
+    }
+    (served, probes)
+}
+
+#[test]
+fn no_probes_and_no_reports() {
+    let mut settings = settings();
+    settings.limits.probes = false;
+    assert_eq!(serve(settings, (1..=4).map(listing).collect(), false), (300, 0));
+}
+
+#[test]
+fn reports_in_answers() {
+    let mut settings = settings();
+    settings.limits.probes = false;
+    assert_eq!(serve(settings, (1..=4).map(listing).collect(), true), (300, 0));
+}
+
+#[test]
+fn one_server_in_another_zone() {
+    let mut settings = settings();
+    settings.crossing_fee = 0.2;
+    let far = Listing { zone: ZoneId(5), ..listing(1) };
+    assert_eq!(serve(settings, vec![far], false).0, 300);
+}
+
+#[test]
+fn no_classes_and_no_sidecars() {
+    let mut settings = settings();
+    settings.classes.clear();
+    settings.sidecars = 0;
+    let mut stage = Stage::new(settings, vec![listing(1)]);
+    assert!(refused(&stage.arrive(REPEATABLE).1), "answered, whatever it is");
+}
+
+#[test]
+fn tenants_without_quotas() {
+    let mut settings = settings();
+    settings.tenants = vec![Tenant { quota_per_s: 0.0 }, Tenant { quota_per_s: 0.0 }];
+    assert_eq!(serve(settings, (1..=4).map(listing).collect(), false).0, 300);
+}
+
+#[test]
+fn duplicates_allowed() {
+    let mut settings = settings();
+    settings.limits.duplicates = true;
+    assert_eq!(serve(settings, (1..=4).map(listing).collect(), false).0, 300);
+}
--- /dev/null
+++ b/tests/pick.rs
@@ -0,0 +1,286 @@
+//! The ordinary path: a random pair, the smaller projected utilisation.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::*;
+use mulleinvale::Balancer;
+use mulleinvale::api::*;
+
+/// Sends of `rounds` requests that all stay out for `hold` ms, with servers that report what they hold.
+fn shares(kappas: &[(u64, f64)], rounds: usize, hold: Millis) -> BTreeMap<u64, usize> {
+    let mut stage = Stage::new(settings(), kappas.iter().map(|(id, _)| listing(*id)).collect());
+    let mut out: Vec<(Millis, RequestId, UpstreamId)> = Vec::new();
+    let mut held: BTreeMap<u64, usize> = BTreeMap::new();
+    let mut sends: BTreeMap<u64, usize> = BTreeMap::new();
+    for _ in 0..rounds {
+        stage.now += 5.0;
+        let now = stage.now;
+        for (_, request, upstream) in out.extract_if(.., |(due, _, _)| *due <= now).collect::<Vec<_>>() {
+            *held.entry(upstream.0).or_default() -= 1;
+            stage.finish(request, 0, upstream, Outcome::Ok, hold);
+        }
+        let (request, actions) = stage.arrive(REPEATABLE);
+        if let Some(to) = sent_to(&actions) {
+            *held.entry(to.0).or_default() += 1;
+            *sends.entry(to.0).or_default() += 1;
+            out.push((stage.now + hold, request, to));
+        }
+        for action in actions {
+            if let Action::Probe(upstream) = action {
+                let (_, kappa) = kappas.iter().find(|(id, _)| *id == upstream.0).unwrap();
+                let in_flight = *held.get(&upstream.0).unwrap_or(&0) as f64;
+                stage.report(upstream.0, in_flight, (in_flight / kappa).min(1.0));
+            }
+        }
+    }
+    sends
+}
+
+#[test]
+fn twice_the_capacity_takes_about_twice_the_load() {
+    let sends = shares(&[(1, 4.0), (2, 4.0), (3, 8.0), (4, 8.0)], 4_000, 60.0);
+    let of = |ids: [u64; 2]| ids.iter().map(|id| sends.get(id).copied().unwrap_or(0)).sum::<usize>() as f64;
+    let ratio = of([3, 4]) / of([1, 2]);
+    assert!((1.5..2.6).contains(&ratio), "ratio {ratio}: {sends:?}");
+}
+
+#[test]
+fn every_ready_server_is_drawn() {
+    let kappas: Vec<(u64, f64)> = (1..=8).map(|id| (id, 4.0)).collect();
+    let sends = shares(&kappas, 2_000, 40.0);
+    assert_eq!(sends.len(), 8, "{sends:?}");
+    assert!(sends.values().all(|count| *count > 120), "{sends:?}");
+}
+
+/// Guards against κ read off a saturated server: the queue is in its in-flight count, so in-flight over
+/// utilisation would call it large and send it more.
+#[test]
+fn a_saturated_reading_does_not_raise_capacity() {
+    let mut stage = Stage::new(settings(), vec![listing(1), listing(2)]);
+    stage.settle(&[1, 2], 6.0, 0.75);
+    for _ in 0..10 {
+        // κ is 8 for both; read as 24 / 1.0 it would be 24 for the first.
+        stage.report(1, 24.0, 1.0);
+        stage.report(2, 8.0, 1.0);
+        let (request, actions) = stage.arrive(REPEATABLE);
+        assert_eq!(sent_to(&actions), Some(UpstreamId(2)));
+        stage.event(Event::Abandoned(request));
+        stage.finish(request, 0, UpstreamId(2), Outcome::Cancelled, 1.0);
+    }
+    for _ in 0..10 {
+        stage.report(1, 24.0, 1.0);
+        stage.report(2, 9.0, 1.0);
+        let (request, actions) = stage.arrive(REPEATABLE);
+        assert_eq!(sent_to(&actions), Some(UpstreamId(2)), "9 of 8 is less than 24 of 8");
+        stage.finish(request, 0, UpstreamId(2), Outcome::Cancelled, 1.0);
+    }
+}
+
+/// Guards against late reports: one below what we have out there ourselves cannot be current.
+#[test]
+fn a_report_below_our_own_outstanding_is_not_believed() {
+    let mut settings = settings();
+    settings.classes[REPEATABLE.0].aim = 450.0;
+    let mut stage = Stage::new(settings, vec![listing(1), listing(2)]);
+    stage.report(1, 2.0, 1.0);
+    stage.report(2, 2.0, 1.0);
+    let mut out = BTreeMap::new();
+    for _ in 0..8 {
+        stage.now += 1.0;
+        let (_, actions) = stage.arrive(REPEATABLE);
+        *out.entry(sent_to(&actions).unwrap().0).or_insert(0) += 1;
+        stage.now += 1.0;
+        // Both go on saying that they are idle, as if nothing had been sent.
+        stage.report(1, 0.0, 0.0);
+        stage.report(2, 0.0, 0.0);
+    }
+    assert_eq!(out, BTreeMap::from([(1, 4), (2, 4)]));
+}
+
+/// Guards against capacity that is mere parallelism: two servers hold as many, one works at half the pace.
+#[test]
+fn a_slower_server_gets_less() {
+    let mut stage = Stage::new(settings(), (1..=4).map(listing).collect());
+    let mut sends = BTreeMap::new();
+    let mut out: Vec<(Millis, RequestId, UpstreamId, Millis)> = Vec::new();
+    for _ in 0..3_000 {
+        stage.now += 10.0;
+        let now = stage.now;
+        for (_, request, to, took) in out.extract_if(.., |o| o.0 <= now).collect::<Vec<_>>() {
+            stage.finish(request, 0, to, Outcome::Ok, took);
+        }
+        let (request, actions) = stage.arrive(REPEATABLE);
+        let Some(to) = sent_to(&actions) else { continue };
+        *sends.entry(to.0).or_insert(0.0) += 1.0;
+        let took = if to.0 <= 2 { 60.0 } else { 30.0 };
+        out.push((stage.now + took, request, to, took));
+    }
+    assert!(sends[&3] + sends[&4] > 1.4 * (sends[&1] + sends[&2]), "{sends:?}");
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let run = |seed: u64| {
+        let mut balancer = Balancer::new(settings(), seed);
+        let mut all = Vec::new();
+        let list = (1..=6).map(listing).collect();
+        balancer.handle(0.0, Event::Listed(ListNews::Restored(list)), &mut all);
+        for id in 0..300 {
+            let event = Event::Arrived {
+                request: RequestId(id),
+                class: ClassId(id as usize % 5),
+                tenant: TenantId(0),
+                time_left: 400.0,
+            };
+            balancer.handle(id as f64 * 7.0, event, &mut all);
+        }
+        all
+    };
+    assert_eq!(run(3), run(3));
+    assert_ne!(run(3), run(4));
+}
+
+#[test]
+fn near_servers_are_kept_to_while_they_have_room() {
+    let mut settings = settings();
+    settings.crossing_fee = 0.1;
+    let servers = (1..=6).map(|id| Listing { zone: ZoneId(id % 2), ..listing(id) }).collect();
+    let mut stage = Stage::new(settings, servers);
+    stage.settle(&[1, 2, 3, 4, 5, 6], 1.0, 0.25);
+    let mut far = 0;
+    for round in 0..60 {
+        let (_, actions) = stage.arrive(REPEATABLE);
+        far += usize::from(sent_to(&actions).is_some_and(|to| to.0 % 2 == 1));
+        if round == 5 {
+            assert_eq!(far, 0, "near servers had room");
+        }
+    }
+    assert!(far > 0, "and when they had none, it spilled over");
+}
+
+/// Guards against capacity read off one moment: utilisation lags, so just after a busy spell few in flight meet
+/// a high utilisation, and their ratio would call the server tiny.
+#[test]
+fn capacity_is_a_ratio_of_means() {
+    let mut stage = Stage::new(settings(), vec![listing(1), listing(2)]);
+    for _ in 0..60 {
+        stage.now += 50.0;
+        stage.report(1, 6.0, 0.75);
+        stage.report(2, 6.0, 0.75);
+    }
+    stage.now += 30.0;
+    stage.report(1, 1.0, 0.89);
+    stage.report(1, 4.0, 0.75);
+    stage.report(2, 6.0, 0.75);
+    let (_, actions) = stage.arrive(REPEATABLE);
+    assert_eq!(sent_to(&actions), Some(UpstreamId(1)), "about as large still, and less in flight");
+}
+
+/// Guards against late reports: when they lack what is known to be out there, they lead every sidecar to the
+/// servers that were idle a while ago.
+#[test]
+fn late_reports_are_not_followed() {
+    let mut settings = settings();
+    settings.classes[REPEATABLE.0].aim = 450.0;
+    let mut stage = Stage::new(settings, vec![listing(1), listing(2), listing(3)]);
+    stage.settle(&[1, 2, 3], 4.0, 0.9);
+    let mut sends = BTreeMap::new();
+    for round in 0..400 {
+        stage.now += 10.0;
+        let (request, actions) = stage.arrive(REPEATABLE);
+        let Some(to) = sent_to(&actions) else { continue };
+        if round >= 200 {
+            *sends.entry(to.0).or_insert(0) += 1;
+        }
+        // What the first says is always too little, what the others say is too much.
+        for id in 1..=3 {
+            stage.now += 1.0;
+            stage.report(id, if id == 1 { 0.0 } else { 4.0 }, if id == 1 { 0.0 } else { 0.9 });
+        }
+        if round >= 7 {
+            for id in 1..=3 {
+                stage.finish(RequestId(request.0 - 7), 0, UpstreamId(id), Outcome::Ok, 90.0);
+            }
+        }
+    }
+    assert!(sends[&2] > 40 && sends[&3] > 40, "{sends:?}");
+}
+
+/// Guards against the first second: a server's running mean of utilisation starts at 0, so that in-flight over it
+/// would call every server huge, and all sidecars would pile on.
+#[test]
+fn the_first_reports_do_not_tell_capacity() {
+    let mut stage = Stage::new(settings(), vec![listing(1), listing(2)]);
+    for id in [1, 2] {
+        stage.report(id, 12.0, 0.12);
+    }
+    let (_, actions) = stage.arrive(REPEATABLE);
+    assert!(refused(&actions), "12 on a server of unknown size is a long queue");
+}
+
+/// Guards against not knowing machines at full size: a small sidecar hears from one server too seldom to learn its
+/// size or pace, and once took them all for alike; what it hears of a kind stands in for the others of that kind.
+#[test]
+fn a_server_not_heard_from_takes_after_its_kind() {
+    let kind_of = |id: u64| KindId(id % 2);
+    let sends_to_unheard = |kind: KindId| {
+        let servers = (1..=12).map(|id| Listing { kind: kind_of(id), ..listing(id) }).collect();
+        let mut stage = Stage::new(settings(), servers);
+        // Of the servers heard from, the odd ones hold four times as much at the same utilisation.
+        stage.settle(&[1, 3], 4.0, 0.5);
+        stage.settle(&[2, 4], 1.0, 0.5);
+        stage.now += 30_000.0;
+        let mut sends = 0;
+        for _ in 0..400 {
+            stage.now += 500.0;
+            let (request, actions) = stage.arrive(REPEATABLE);
+            let to = sent_to(&actions).expect("there is room");
+            sends += u32::from(to.0 > 4 && kind_of(to.0) == kind);
+            stage.finish(request, 0, to, Outcome::Ok, 20.0);
+        }
+        sends
+    };
+    let (large, small) = (sends_to_unheard(KindId(1)), sends_to_unheard(KindId(0)));
+    assert!(large > 2 * small, "{large} to the large kind, {small} to the small one");
+}
+
+/// Guards against herding at full size: sidecars that send seldom all saw the same server idle a while ago, and sent
+/// there at once. A pair without a recent reading is asked first, and the request goes to the less used of the two.
+#[test]
+fn a_pair_not_heard_from_of_late_is_asked_first() {
+    let mut stage = Stage::new(settings(), vec![listing(1), listing(2)]);
+    stage.settle(&[1, 2], 2.0, 0.5);
+    stage.now += 5_000.0;
+    let request = RequestId(70);
+    let arrival = Event::Arrived { request, class: REPEATABLE, tenant: TenantId(0), time_left: 500.0 };
+    let actions = stage.event(arrival);
+    assert_eq!(sent_to(&actions), None, "held");
+    for id in [1, 2] {
+        assert!(actions.contains(&Action::Probe(UpstreamId(id))));
+    }
+    stage.now += 2.0;
+    assert_eq!(sent_to(&stage.probed(1, 6.0, 0.5)), None, "one of two has answered");
+    assert_eq!(sent_to(&stage.probed(2, 1.0, 0.5)), Some(UpstreamId(2)));
+    assert!(stage.event(Event::Woke(70 >> 1)).is_empty(), "its timer finds it gone");
+}
+
+/// Guards against losing a held request: probes may go unanswered.
+#[test]
+fn a_held_request_does_not_wait_for_ever() {
+    let mut stage = Stage::new(settings(), vec![listing(1), listing(2)]);
+    let event = Event::Arrived { request: RequestId(9), class: ONCE, tenant: TenantId(0), time_left: 500.0 };
+    let mut actions = stage.event(event);
+    let mut held = 0;
+    while let Some(Action::WakeAt { at, token }) = actions.last().cloned() {
+        held += 1;
+        stage.now = at;
+        actions = stage.event(Event::Woke(token));
+    }
+    assert!(
+        held > 0 && sent_to(&actions).is_some() && stage.now < 1_100.0,
+        "{held} holds until {}",
+        stage.now
+    );
+}
