--- a/src/bin/mulleinvale-wirehost/main.rs
+++ b/src/bin/sagemast-simhost/main.rs
@@ -6,8 +6,9 @@
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
 
-use mulleinvale::Balancer;
-use mulleinvale::api::*;
+use sagemast::Balancer;
+use sagemast::api::*;
+use sagemast::settings::{Column, report};
 use wire::*;
 
 /// One sidecar's module, and how its load reports are laid out.
@@ -149,7 +150,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
-            eprintln!("mulleinvale-wirehost: {reason}");
+            eprintln!("sagemast-simhost: {reason}");
             ExitCode::FAILURE
         }
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -2,7 +2,7 @@
 //!
 //! Ordinary path: per request draw two ready servers at random and send to the one with the smaller projected
 //! utilisation (m+1)/κ. Read on in the order a request meets it: arrival, survey, draw, send, outcome; then
-//! reports, health, cold starts, the list. `docs/design.md` says when each departure acts and what it earns.
+//! reports, health, cold starts, the list.
 
 use std::collections::BTreeMap;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod brain;
+pub mod settings;
 mod state;
 
 pub use brain::Balancer;
--- a/tests/any_order.rs
+++ b/tests/any_order.rs
@@ -5,9 +5,9 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use mulleinvale::Balancer;
-use mulleinvale::api::*;
 use oorandom::Rand64;
+use sagemast::Balancer;
+use sagemast::api::*;
 
 struct Try {
     upstream: UpstreamId,
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use mulleinvale::api::*;
+use sagemast::api::*;
 
 /// Answers every send at once: server 1 fails as `bad` says, the others serve in 30 ms.
 fn play(stage: &mut Stage, rounds: usize, bad: Outcome, all_bad: bool) -> usize {
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use mulleinvale::Balancer;
-use mulleinvale::api::*;
+use sagemast::Balancer;
+use sagemast::api::*;
 
 /// Sends of `rounds` requests that all stay out for `hold` ms, with servers that report what they hold.
 fn shares(kappas: &[(u64, f64)], rounds: usize, hold: Millis) -> BTreeMap<u64, usize> {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -15,7 +15,7 @@
 "telemetry":{"columns":["inflight","later_figure","util"],"how":"pull"},"new_table":{"a":[1,2]}}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_mulleinvale-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sagemast-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
