--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,68 @@
+//! The sidecar: one program on real sockets round the decision module of the library.
+
+mod net;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, timeout};
+
+use net::client::{self, Front, Names, Phase};
+use net::config::Config;
+use net::driver::Driver;
+use net::log;
+
+/// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
+const STILL_COMING: Duration = Duration::from_millis(500);
+/// After the longest deadline and this, SIGKILL is close.
+const LAST_MARGIN: Duration = Duration::from_millis(600);
+/// Descriptors for standard streams, the listener, discovery and the runtime.
+const OWN_SOCKETS: usize = 24;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::line(format!("{error:#}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<()> {
+    let config = Config::from_env()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("cannot start the runtime")?;
+    runtime.block_on(sidecar(config))
+}
+
+async fn sidecar(config: Config) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
+    let listener = client::listen(config.listen)?;
+    let (phase, phases) = watch::channel(Phase::Open);
+    let (happenings, inbox) = mpsc::unbounded_channel();
+    let seed = config.seed();
+    let longest = Duration::from_secs_f64(config.settings.longest_deadline_ms() / 1e3);
+    let names = Names { classes: config.settings.classes(), tenants: config.settings.tenant_names() };
+    let front = Arc::new(Front::new(names, phases, happenings));
+    let each = (config.limits.sockets - OWN_SOCKETS) / 2;
+    let driver = Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, each);
+    tokio::spawn(driver.run(config.known));
+    let serving = tokio::spawn(client::serve(listener, front, each));
+
+    terminate.recv().await;
+    log::line("SIGTERM: finishing what is held");
+    phase.send_replace(Phase::Leaving);
+    sleep(STILL_COMING).await;
+    phase.send_replace(Phase::Closing);
+    if timeout(longest + LAST_MARGIN - STILL_COMING, serving).await.is_err() {
+        log::line("some clients have not let go in time");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,114 @@
+//! What the sidecar is told at start: the file named by `ROUTER_CONFIG`, checked before anything runs.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use anyhow::{Context, Result, bail};
+use sagemast::settings::Config as SettingsObject;
+use serde::Deserialize;
+
+use super::discovery::HostList;
+
+/// The configuration file.
+#[derive(Deserialize)]
+pub struct Config {
+    /// Where the application connects.
+    pub listen: SocketAddr,
+    /// Where discovery is asked.
+    pub discovery: SocketAddr,
+    /// For random numbers, in hexadecimal digits.
+    #[serde(default)]
+    pub seed: String,
+    /// What the surroundings allow this process.
+    #[serde(default)]
+    pub limits: Limits,
+    /// The list of upstreams as this sidecar last had it.
+    #[serde(default)]
+    pub known: Option<HostList>,
+    /// The settings that the module and the wire share.
+    pub settings: SettingsObject,
+}
+
+/// What the surroundings allow this process.
+#[derive(Deserialize)]
+pub struct Limits {
+    /// File descriptors.
+    #[serde(default = "default_sockets")]
+    pub sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { sockets: default_sockets() }
+    }
+}
+
+/// What the smallest deployments allow.
+fn default_sockets() -> usize {
+    1024
+}
+
+impl Config {
+    /// Reads and checks the file that the environment names.
+    pub fn from_env() -> Result<Config> {
+        let path = std::env::var_os("ROUTER_CONFIG").context("ROUTER_CONFIG is not set")?;
+        let shown = path.to_string_lossy().into_owned();
+        let text = std::fs::read(&path).with_context(|| format!("cannot read {shown}"))?;
+        Config::parse(&text).with_context(|| format!("bad configuration in {shown}"))
+    }
+
+    /// Reads and checks the text of a configuration.
+    pub fn parse(text: &[u8]) -> Result<Config> {
+        let config: Config = serde_json::from_slice(text)?;
+        config.settings.check().map_err(anyhow::Error::msg)?;
+        let mut seen = HashSet::new();
+        if let Some(double) = config.settings.class_names().find(|name| !seen.insert(*name)) {
+            bail!("two classes are named {double:?}");
+        }
+        if config.limits.sockets < MIN_SOCKETS {
+            bail!("limits.sockets is {}; at least {MIN_SOCKETS} are needed", config.limits.sockets);
+        }
+        Ok(config)
+    }
+
+    /// The seed as a number; one that is not in hexadecimal digits still makes a seed of its own.
+    pub fn seed(&self) -> u64 {
+        u64::from_str_radix(&self.seed, 16)
+            .unwrap_or_else(|_| self.seed.bytes().fold(7, |sum, b| sum.wrapping_mul(31) + u64::from(b)))
+    }
+}
+
+/// Fewer descriptors than this leave no room for connections on both sides.
+const MIN_SOCKETS: usize = 64;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MINIMAL: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{
+        "classes":[{"name":"a","aim":250.0,"hard_limit":900.0,"importance":2.0,"effect":"repeatable"}],
+        "allowed":{"max_attempts":3},"peers_total":3,"membership_mode":"automatic","telemetry":{},
+        "invariants":{"cold_share":0.1,"warm_up":2e4,"fall_multiple":2.5,"fall":1500.0}}}"#;
+
+    #[test]
+    fn a_minimal_configuration_is_enough() {
+        let config = Config::parse(MINIMAL.as_bytes()).expect("it holds all that is needed");
+        assert_eq!(config.limits.sockets, 1024);
+        assert!(config.known.is_none());
+    }
+
+    #[test]
+    fn nonsense_is_told_from_a_configuration() {
+        for (from, to) in [
+            (r#""aim":250.0"#, r#""aim":-1"#),
+            (r#""name":"a""#, r#""name":"""#),
+            (r#""max_attempts":3"#, r#""max_attempts":0"#),
+            (r#""listen":"127.0.0.1:0""#, r#""listen":"here""#),
+            (r#""cold_share":0.1"#, r#""cold_share":0"#),
+            (r#""classes":["#, r#""klasses":["#),
+        ] {
+            assert!(MINIMAL.contains(from), "{from}");
+            assert!(Config::parse(MINIMAL.replace(from, to).as_bytes()).is_err(), "{to}");
+        }
+    }
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,617 @@
+//! The driver: owns the module, turns what happens into its events and carries out its actions in order.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{self, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Uri};
+use sagemast::Balancer;
+use sagemast::api::*;
+use sagemast::settings::{Column, Config as SettingsObject, report_from_text};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+use super::client::{Arrival, Final, Forward, Front, end_to_end};
+use super::discovery::{AbortOnDrop, Health, Host, HostList, Watch};
+use super::log;
+use super::upstream::{Answer, Connection, End, Permits, Pool, Source, attempt, probe};
+
+/// The module is told this much less than the client waits: its last word must reach the client in time.
+const IN_HAND: Duration = Duration::from_millis(8);
+/// What the module has not ended by then, the driver does.
+const BACKSTOP: Duration = Duration::from_millis(4);
+/// A probe that has not come back by then says nothing: servers answer them beside their queue.
+const PROBE_TIME: Duration = Duration::from_millis(150);
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_millis(500);
+/// Idle connections are closed after this share of the time that upstreams keep them: one that is written to
+/// just as the upstream closes it ends as a reset.
+const IDLE_SHARE: f64 = 0.7;
+/// The names of upstreams that are gone are forgotten when there are more than this many names.
+const NAMES: usize = 4_096;
+
+/// One attempt on its way.
+#[derive(Debug, Clone, Copy)]
+pub struct Flight {
+    /// The request.
+    pub request: RequestId,
+    /// Which of its sends.
+    pub attempt: AttemptNo,
+    /// Where to.
+    pub upstream: UpstreamId,
+    /// Which of the upstream's lives: connections do not outlast one.
+    pub life: u64,
+    /// When the attempt is given up.
+    pub until: Instant,
+}
+
+/// Something that the driver is told.
+pub enum Happening {
+    /// A request came in.
+    Arrived(Box<Arrival>),
+    /// Its client went away.
+    ClientLeft(RequestId),
+    /// A connection for an attempt came up or did not.
+    Connected(Flight, Result<Box<Connection>, String>),
+    /// An attempt ended.
+    Ended {
+        /// Which.
+        flight: Flight,
+        /// How.
+        end: End,
+    },
+    /// A connection is free.
+    Idle {
+        /// To whom.
+        upstream: UpstreamId,
+        /// In which of its lives.
+        life: u64,
+        /// The connection.
+        connection: Box<Connection>,
+    },
+    /// A probe ended.
+    Probed {
+        /// Who was asked.
+        upstream: UpstreamId,
+        /// What came back.
+        answer: Option<Answer>,
+    },
+    /// Discovery told something.
+    Listed(HostList),
+    /// A call to discovery failed or the watch ended.
+    DiscoveryFailed,
+}
+
+/// A send that has not ended.
+struct Sent {
+    flight: Flight,
+    at: Instant,
+    /// Dropped or used to give it up; `None` once that was done.
+    give_up: Option<oneshot::Sender<()>>,
+    connecting: bool,
+}
+
+/// A request without its final answer.
+struct Open {
+    forward: Arc<Forward>,
+    reply: oneshot::Sender<Final>,
+    sends: u32,
+    deadline: Instant,
+    timer: (Instant, u64),
+}
+
+/// An upstream that discovery named.
+struct Server {
+    listing: Listing,
+    dial: SocketAddr,
+    born_ms: f64,
+    life: u64,
+    pool: Pool,
+}
+
+enum Timer {
+    Wake(u64),
+    Backstop(RequestId),
+    Sweep,
+}
+
+/// The driver.
+pub struct Driver {
+    module: Balancer,
+    settings: SettingsObject,
+    columns: Vec<Column>,
+    subscribed: bool,
+    front: Arc<Front>,
+    inbox: mpsc::UnboundedReceiver<Happening>,
+    happenings: mpsc::UnboundedSender<Happening>,
+    discovery: SocketAddr,
+    seq: u64,
+    watch: Option<AbortOnDrop>,
+    epoch: Instant,
+    /// Unix time at the epoch, in milliseconds.
+    epoch_unix_ms: f64,
+    open: HashMap<RequestId, Open>,
+    sent: BTreeMap<(RequestId, AttemptNo), Sent>,
+    names: HashMap<String, UpstreamId>,
+    servers: BTreeMap<UpstreamId, Server>,
+    next_upstream: u64,
+    timers: BTreeMap<(Instant, u64), Timer>,
+    next_timer: u64,
+    permits: Permits,
+    actions: Vec<Action>,
+}
+
+impl Driver {
+    /// A driver that knows the settings and nothing else.
+    pub fn new(
+        settings: SettingsObject,
+        seed: u64,
+        discovery: SocketAddr,
+        front: Arc<Front>,
+        inbox: mpsc::UnboundedReceiver<Happening>,
+        max_connections: usize,
+    ) -> Driver {
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        Driver {
+            module: Balancer::new(settings.settings(), seed),
+            columns: settings.columns(),
+            subscribed: matches!(settings.settings().discovery, Discovery::Subscribed { .. }),
+            happenings: front.happenings.clone(),
+            front,
+            inbox,
+            discovery,
+            seq: 0,
+            watch: None,
+            epoch: Instant::now(),
+            epoch_unix_ms: unix.map_or(0.0, |since| since.as_secs_f64() * 1e3),
+            open: HashMap::new(),
+            sent: BTreeMap::new(),
+            names: HashMap::new(),
+            servers: BTreeMap::new(),
+            next_upstream: 1,
+            timers: BTreeMap::new(),
+            next_timer: 0,
+            permits: Arc::new(Semaphore::new(max_connections)),
+            actions: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Runs for good.
+    pub async fn run(mut self, known: Option<HostList>) {
+        let known = known.unwrap_or(HostList { seq: 0, whole: true, hosts: Vec::new() });
+        self.listed(&known, true);
+        if !self.subscribed {
+            self.watch = Some(AbortOnDrop(tokio::spawn(self.new_watch().keep())));
+        }
+        self.set_timer(Instant::now() + SWEEP, Timer::Sweep);
+        loop {
+            let due = self.timers.keys().next().map(|key| key.0);
+            tokio::select! {
+                biased;
+                happening = self.inbox.recv() => match happening {
+                    Some(happening) => self.happened(happening),
+                    None => return,
+                },
+                () = sleep_until(due.unwrap_or_else(|| Instant::now() + SWEEP)) => {}
+            }
+            self.fire();
+        }
+    }
+
+    fn new_watch(&self) -> Watch {
+        Watch { address: self.discovery, seq: self.seq, news: self.happenings.clone(), missed: false }
+    }
+
+    /// The module's clock.
+    fn millis(&self, at: Instant) -> Millis {
+        at.saturating_duration_since(self.epoch).as_secs_f64() * 1e3
+    }
+
+    fn set_timer(&mut self, at: Instant, timer: Timer) -> (Instant, u64) {
+        self.next_timer += 1;
+        let key = (at, self.next_timer);
+        self.timers.insert(key, timer);
+        key
+    }
+
+    /// Fires the timers that are due.
+    fn fire(&mut self) {
+        let now = Instant::now();
+        while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
+            match entry.remove() {
+                Timer::Wake(token) => self.event(Event::Woke(token)),
+                Timer::Backstop(request) => {
+                    // The module answers in time unless it is at fault or the process was held up.
+                    self.finish(request, Final::Failed);
+                    self.leave(request);
+                }
+                Timer::Sweep => {
+                    let limit = self.idle_limit();
+                    self.servers.values_mut().for_each(|server| server.pool.sweep(limit));
+                    self.set_timer(now + SWEEP, Timer::Sweep);
+                }
+            }
+        }
+    }
+
+    fn idle_limit(&self) -> Duration {
+        Duration::from_secs_f64(self.settings.keepalive_ms() * IDLE_SHARE / 1e3)
+    }
+
+    /// Hands an event to the module and does what it says.
+    fn event(&mut self, event: Event) {
+        let now = self.millis(Instant::now());
+        let mut actions = std::mem::take(&mut self.actions);
+        self.module.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn happened(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrived(arrival) => self.arrived(*arrival),
+            Happening::ClientLeft(request) => {
+                if let Some(open) = self.open.remove(&request) {
+                    self.timers.remove(&open.timer);
+                }
+                self.leave(request);
+            }
+            Happening::Connected(flight, connection) => self.connected(flight, connection),
+            Happening::Ended { flight, end } => self.ended(flight, end),
+            Happening::Idle { upstream, life, connection } => self.put_back(upstream, life, *connection),
+            Happening::Probed { upstream, answer } => {
+                let answered = answer.as_ref().is_some_and(|answer| answer.status == 200);
+                let text = answer.filter(|_| answered);
+                let text = text.as_ref().and_then(|answer| std::str::from_utf8(&answer.body).ok());
+                let report = text.and_then(|text| report_from_text(&self.columns, text));
+                self.event(Event::Probed { upstream, answered, report });
+            }
+            Happening::Listed(list) => self.listed(&list, false),
+            Happening::DiscoveryFailed => self.event(Event::Listed(ListNews::Unavailable)),
+        }
+    }
+
+    fn arrived(&mut self, arrival: Arrival) {
+        let Arrival { request, class, tenant, at, time_left, forward, reply } = arrival;
+        let deadline = at + time_left.saturating_sub(IN_HAND);
+        let timer = self.set_timer(at + time_left.saturating_sub(BACKSTOP), Timer::Backstop(request));
+        let open = Open { forward: Arc::new(forward), reply, sends: 0, deadline, timer };
+        self.open.insert(request, open);
+        let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
+        self.event(Event::Arrived { request, class, tenant, time_left });
+    }
+
+    /// Tells the module that a request is over without it, and ends what is out for it.
+    fn leave(&mut self, request: RequestId) {
+        self.event(Event::Abandoned(request));
+        self.give_up_all(request);
+    }
+
+    fn give_up_all(&mut self, request: RequestId) {
+        let first = (request, AttemptNo(0));
+        for (_, sent) in self.sent.range_mut(first..=(request, AttemptNo(u32::MAX))) {
+            sent.give_up = None;
+        }
+    }
+
+    /// Answers a request, if it is still owed one.
+    fn finish(&mut self, request: RequestId, answer: Final) -> bool {
+        let Some(open) = self.open.remove(&request) else { return false };
+        self.timers.remove(&open.timer);
+        // The client may have gone in this very moment.
+        open.reply.send(answer).is_ok()
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { request, upstream, timeout } => self.send(request, upstream, timeout),
+            Action::Cancel { request, attempt } => {
+                if let Some(sent) = self.sent.get_mut(&(request, attempt)) {
+                    sent.give_up = None;
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                self.finish(request, Final::Refused(retry_after));
+            }
+            Action::Fail(request) => {
+                self.finish(request, Final::Failed);
+            }
+            Action::Probe(upstream) => self.probe(upstream),
+            Action::WakeAt { at, token } => {
+                let at = self.epoch + Duration::try_from_secs_f64(at / 1e3).unwrap_or_default();
+                self.set_timer(at, Timer::Wake(token));
+            }
+            Action::Subscribe => {
+                self.watch = Some(AbortOnDrop(tokio::spawn(self.new_watch().ask())));
+            }
+            Action::Log(text) => log::line(text),
+        }
+    }
+
+    // --- Attempts ----------------------------------------------------------------------------
+
+    fn send(&mut self, request: RequestId, upstream: UpstreamId, timeout: Millis) {
+        let now = Instant::now();
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let attempt = AttemptNo(open.sends);
+        open.sends += 1;
+        let timeout = Duration::try_from_secs_f64(timeout / 1e3).unwrap_or_default();
+        let until = if timeout.is_zero() { open.deadline } else { (now + timeout).min(open.deadline) };
+        let life = self.servers.get(&upstream).map_or(0, |server| server.life);
+        let flight = Flight { request, attempt, upstream, life, until };
+        self.sent.insert((request, attempt), Sent { flight, at: now, give_up: None, connecting: false });
+        self.start(flight);
+    }
+
+    /// Gets a connection for an attempt: an idle one, or a new one.
+    fn start(&mut self, flight: Flight) {
+        let limit = self.idle_limit();
+        let Some(server) = self.servers.get_mut(&flight.upstream) else {
+            return self.end_later(flight, Outcome::NotSent);
+        };
+        if let Some(connection) = server.pool.take(limit) {
+            return self.write(flight, connection);
+        }
+        let dial = server.dial;
+        // Out of sockets of our own: no fault of the upstream's.
+        let Some(permit) = self.permit() else { return self.end_later(flight, Outcome::NotSent) };
+        let (give_up, given_up) = oneshot::channel();
+        if let Some(sent) = self.sent.get_mut(&(flight.request, flight.attempt)) {
+            (sent.give_up, sent.connecting) = (Some(give_up), true);
+        }
+        let by = Instant::now() + Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
+        let happenings = self.happenings.clone();
+        tokio::spawn(async move {
+            let result = tokio::select! {
+                result = Connection::open(dial, by.min(flight.until), permit) => result,
+                _ = given_up => Err("given up".to_owned()),
+            };
+            let _ = happenings.send(Happening::Connected(flight, result.map(Box::new)));
+        });
+    }
+
+    /// The right to one more connection; an idle one is closed for it if need be.
+    fn permit(&mut self) -> Option<tokio::sync::OwnedSemaphorePermit> {
+        if let Ok(permit) = self.permits.clone().try_acquire_owned() {
+            return Some(permit);
+        }
+        let pools = self.servers.values_mut().map(|server| &mut server.pool);
+        pools.filter(|pool| pool.oldest().is_some()).min_by_key(|pool| pool.oldest())?.drop_oldest();
+        self.permits.clone().try_acquire_owned().ok()
+    }
+
+    fn connected(&mut self, flight: Flight, connection: Result<Box<Connection>, String>) {
+        let key = (flight.request, flight.attempt);
+        let given_up = self.sent.get(&key).is_none_or(|sent| sent.give_up.is_none());
+        let connection = match connection {
+            Ok(connection) => *connection,
+            Err(_) => {
+                let outcome = if given_up { Outcome::NotSent } else { Outcome::Unreachable };
+                return self.ended(flight, End::Outcome(outcome, None));
+            }
+        };
+        // While it connected, the request may have ended or the upstream may have begun to drain or to live
+        // anew: what is not written yet must not be.
+        let open = self.open.contains_key(&flight.request) && !given_up;
+        let wanted = self.servers.get(&flight.upstream).is_some_and(|server| {
+            server.life == flight.life && server.listing.lifecycle == Lifecycle::Serving
+        });
+        if open && wanted {
+            return self.write(flight, connection);
+        }
+        self.put_back(flight.upstream, flight.life, connection);
+        let outcome = if open { Outcome::Unreachable } else { Outcome::NotSent };
+        self.ended(flight, End::Outcome(outcome, None));
+    }
+
+    /// Writes an attempt to a connection.
+    fn write(&mut self, flight: Flight, connection: Connection) {
+        let key = (flight.request, flight.attempt);
+        let Some(open) = self.open.get(&flight.request) else {
+            self.put_back(flight.upstream, flight.life, connection);
+            return self.end_later(flight, Outcome::NotSent);
+        };
+        let dial = self.servers.get(&flight.upstream).map(|server| server.dial);
+        let request = outgoing(&open.forward, dial, flight.until);
+        let body_len = open.forward.body.len();
+        let (give_up, given_up) = oneshot::channel();
+        if let Some(sent) = self.sent.get_mut(&key) {
+            (sent.give_up, sent.connecting) = (Some(give_up), false);
+        }
+        let happenings = self.happenings.clone();
+        tokio::spawn(attempt(connection, request, body_len, flight, given_up, happenings));
+    }
+
+    /// Ends an attempt that never began, after the actions at hand.
+    fn end_later(&self, flight: Flight, outcome: Outcome) {
+        let _ = self.happenings.send(Happening::Ended { flight, end: End::Outcome(outcome, None) });
+    }
+
+    fn ended(&mut self, flight: Flight, end: End) {
+        let key = (flight.request, flight.attempt);
+        let (outcome, answer) = match end {
+            End::Outcome(outcome, answer) => (outcome, answer),
+            // Nothing was written: the same attempt goes on over another connection, if it still may.
+            End::Stale => {
+                let wanted = self.sent.get(&key).is_some_and(|sent| sent.give_up.is_some());
+                if wanted && Instant::now() < flight.until {
+                    return self.start(flight);
+                }
+                (Outcome::Unreachable, None)
+            }
+        };
+        let Some(sent) = self.sent.remove(&key) else { return };
+        let latency = sent.at.elapsed().as_secs_f64() * 1e3;
+        let report = answer.as_ref().and_then(|answer| {
+            let text = answer.headers.get("x-server-load").filter(|_| self.settings.reports_in_answers())?;
+            report_from_text(&self.columns, text.to_str().ok()?)
+        });
+        // The first answer goes to the client by itself and ends the request.
+        let mut closed = !self.open.contains_key(&flight.request);
+        if let (Outcome::Ok, Some(answer)) = (outcome, answer) {
+            self.finish(flight.request, Final::Served(client_headers(&answer.headers), answer.body));
+            closed = true;
+        }
+        self.event(Event::Finished(Finished {
+            request: flight.request,
+            attempt: flight.attempt,
+            upstream: flight.upstream,
+            outcome,
+            latency,
+            closed,
+            report,
+        }));
+    }
+
+    fn put_back(&mut self, upstream: UpstreamId, life: u64, connection: Connection) {
+        let Some(server) = self.servers.get_mut(&upstream) else { return };
+        if server.life == life && server.listing.lifecycle == Lifecycle::Serving && connection.is_usable() {
+            server.pool.put(connection);
+        }
+    }
+
+    fn probe(&mut self, upstream: UpstreamId) {
+        let limit = self.idle_limit();
+        let now = Instant::now();
+        let nothing = Happening::Probed { upstream, answer: None };
+        let Some(server) = self.servers.get_mut(&upstream) else {
+            let _ = self.happenings.send(nothing);
+            return;
+        };
+        let (dial, life) = (server.dial, server.life);
+        let source = match server.pool.take(limit) {
+            Some(connection) => Source::Idle(Box::new(connection)),
+            None => match self.permit() {
+                Some(permit) => {
+                    let by = now + Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
+                    Source::Dial(dial, by, permit)
+                }
+                None => {
+                    let _ = self.happenings.send(nothing);
+                    return;
+                }
+            },
+        };
+        let path = if self.columns.is_empty() { "/alive" } else { "/metrics/load" };
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = Uri::from_static(path);
+        if let Ok(host) = HeaderValue::from_str(&dial.to_string()) {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        tokio::spawn(probe(source, request, upstream, life, now + PROBE_TIME, self.happenings.clone()));
+    }
+
+    // --- The list ----------------------------------------------------------------------------
+
+    fn listed(&mut self, list: &HostList, restored: bool) {
+        self.seq = list.seq;
+        let hosts = list.entries();
+        let whole = list.whole || restored;
+        let mut listings: Vec<Listing> = hosts.iter().map(|host| self.update(host)).collect();
+        if whole {
+            // An entry that cannot be read is not missing: what was known of its host stands.
+            let unread = list.unread_names().filter_map(|name| self.names.get(name));
+            listings
+                .extend(unread.filter_map(|id| self.servers.get(id)).map(|server| server.listing.clone()));
+            for server in self.servers.values_mut() {
+                if !listings.iter().any(|listing| listing.upstream == server.listing.upstream) {
+                    server.listing.lifecycle = Lifecycle::Leaving;
+                    server.pool.clear();
+                }
+            }
+        }
+        if self.names.len() > NAMES {
+            self.forget();
+        }
+        self.front.ready.fetch_or(!listings.is_empty() || (whole && !restored), Ordering::Relaxed);
+        self.event(Event::Listed(match (restored, whole) {
+            (true, _) => ListNews::Restored(listings),
+            (false, true) => ListNews::Complete(listings),
+            (false, false) => ListNews::Changed(listings),
+        }));
+    }
+
+    /// Takes in what discovery says of one host, in the module's terms.
+    fn update(&mut self, host: &Host) -> Listing {
+        let id = *self.names.entry(host.host.clone()).or_insert_with(|| {
+            self.next_upstream += 1;
+            UpstreamId(self.next_upstream)
+        });
+        let lifecycle = if host.health == Health::Ready { Lifecycle::Serving } else { Lifecycle::Leaving };
+        let known = self.servers.get(&id).filter(|server| server.born_ms == host.born_ms);
+        // A start in the future, by another machine's clock, is one just now.
+        let started = match known {
+            Some(server) => server.listing.started,
+            None => (host.born_ms > 0.0)
+                .then(|| (host.born_ms - self.epoch_unix_ms).min(self.millis(Instant::now()))),
+        };
+        let listing = Listing {
+            upstream: id,
+            zone: ZoneId(self.settings.zone_named(&host.site)),
+            cell: CellId(host.block),
+            kind: KindId(self.settings.kind_named(&host.class)),
+            lifecycle,
+            weight: host.share,
+            started,
+        };
+        let server = self.servers.entry(id).or_insert_with(|| Server {
+            listing: listing.clone(),
+            dial: host.dial,
+            born_ms: host.born_ms,
+            life: 0,
+            pool: Pool::default(),
+        });
+        // Connections to another address or another life lead nowhere, or to the wrong process.
+        if server.dial != host.dial || server.born_ms != host.born_ms {
+            server.life += 1;
+            server.pool.clear();
+        }
+        if lifecycle == Lifecycle::Leaving {
+            server.pool.clear();
+        }
+        (server.dial, server.born_ms, server.listing) = (host.dial, host.born_ms, listing.clone());
+        listing
+    }
+
+    /// Forgets upstreams that are gone, so that names do not pile up.
+    fn forget(&mut self) {
+        let busy: Vec<UpstreamId> = self.sent.values().map(|sent| sent.flight.upstream).collect();
+        self.servers.retain(|id, server| server.listing.lifecycle == Lifecycle::Serving || busy.contains(id));
+        self.names.retain(|_, id| self.servers.contains_key(id));
+    }
+}
+
+/// The request as it goes to an upstream.
+fn outgoing(forward: &Forward, dial: Option<SocketAddr>, until: Instant) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(forward.body.clone()));
+    *request.method_mut() = forward.method.clone();
+    *request.uri_mut() = forward.target.clone();
+    let mut headers = forward.headers.clone();
+    if let Some(host) = dial.filter(|_| !headers.contains_key(header::HOST)) {
+        if let Ok(host) = HeaderValue::from_str(&host.to_string()) {
+            headers.insert(header::HOST, host);
+        }
+    }
+    let left = until.saturating_duration_since(Instant::now()).as_millis().max(1) as u64;
+    headers.insert("x-timeout-ms", HeaderValue::from(left));
+    if forward.method != Method::GET || !forward.body.is_empty() {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(forward.body.len()));
+    }
+    *request.headers_mut() = headers;
+    request
+}
+
+/// An upstream's headers as they go on to the client.
+fn client_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = end_to_end(headers);
+    kept.remove("x-server-load");
+    kept
+}
--- /dev/null
+++ b/src/net/upstream.rs
@@ -0,0 +1,298 @@
+//! Connections to upstreams, and the one exchange at a time that each carries: attempts and probes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use sagemast::api::*;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+
+use super::counted::{Counted, Written};
+use super::driver::{Flight, Happening};
+use super::log;
+
+/// Bodies hold at most this much, both ways.
+pub const BODY_BYTES: usize = 64 << 10;
+/// Room for a head; hyper also reads bodies through it.
+const BUFFER_BYTES: usize = 32 << 10;
+/// How long a connection may take to become ready for the next request once an answer was read.
+const SETTLE: Duration = Duration::from_millis(100);
+
+/// An open connection. It is closed when this is dropped; [`Connection::close`] waits until it is.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+    written: Written,
+    /// Whether it has carried a request before.
+    pub used: bool,
+    /// Since when it has carried nothing.
+    pub idle_since: Instant,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Connection {
+    /// Connects by `until`.
+    pub async fn open(
+        dial: SocketAddr,
+        until: Instant,
+        permit: OwnedSemaphorePermit,
+    ) -> Result<Connection, String> {
+        let stream = timeout_at(until, TcpStream::connect(dial))
+            .await
+            .map_err(|_| "connecting took too long".to_owned())?
+            .map_err(|error| format!("cannot connect: {error}"))?;
+        // Without it the kernel may hold back a small request.
+        stream.set_nodelay(true).map_err(|error| error.to_string())?;
+        let (counted, written) = Counted::new(stream);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(counted))
+            .await
+            .map_err(|error| error.to_string())?;
+        let task = tokio::spawn(async move {
+            // How an exchange failed shows at the exchange.
+            let _ = connection.await;
+        });
+        Ok(Connection { sender, task, written, used: false, idle_since: Instant::now(), _permit: permit })
+    }
+
+    /// Whether it can take a request now, as far as this side knows.
+    pub fn is_usable(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Closes it; when this returns, the socket is closed.
+    pub async fn close(mut self) {
+        self.task.abort();
+        let _ = (&mut self.task).await;
+    }
+
+    /// Waits until the next request can be sent. `None` if the upstream closes it.
+    async fn settle(mut self) -> Option<Connection> {
+        timeout(SETTLE, self.sender.ready()).await.ok()?.ok()?;
+        self.used = true;
+        self.idle_since = Instant::now();
+        Some(self)
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// An upstream's answer, read whole.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Why there is no answer.
+enum Broken {
+    /// The request's last byte was never written: it has not run.
+    Unsent,
+    /// It may have run.
+    Cut,
+    /// An answer came that is too long to take.
+    TooLong,
+}
+
+/// The bytes that a request takes on the wire at least. Fewer written mean that its last byte was not.
+fn least_size(request: &Request<Full<Bytes>>, body: usize) -> u64 {
+    let target = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
+    let line = request.method().as_str().len() + 1 + target + " HTTP/1.1\r\n".len();
+    let headers: usize =
+        request.headers().iter().map(|(name, value)| name.as_str().len() + 2 + value.len() + 2).sum();
+    (line + headers + 2 + body) as u64
+}
+
+/// Sends a request once and reads its answer whole.
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+    written: &Written,
+    complete_at: u64,
+) -> Result<Answer, Broken> {
+    let broken = || if written.get() < complete_at { Broken::Unsent } else { Broken::Cut };
+    let response = sender.send_request(request).await.map_err(|_| broken())?;
+    let (head, body): (_, hyper::body::Incoming) = Response::into_parts(response);
+    match Limited::new(body, BODY_BYTES).collect().await {
+        Ok(body) => Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() }),
+        Err(error) if error.is::<LengthLimitError>() => Err(Broken::TooLong),
+        Err(_) => Err(broken()),
+    }
+}
+
+/// What an answer means for the attempt.
+fn outcome_of(answer: &Answer) -> Outcome {
+    let not_run = answer.headers.get("x-not-processed").is_some_and(|value| value == "1");
+    match answer.status {
+        StatusCode::OK => Outcome::Ok,
+        // Without the mark nothing says that it never ran.
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+/// What an attempt came to.
+pub enum End {
+    /// It ended so, with the answer if one came.
+    Outcome(Outcome, Option<Answer>),
+    /// The idle connection had been closed and no byte was written to it: another may be used.
+    Stale,
+}
+
+/// Carries one attempt over a connection until it ends, its time is up or `give_up` is dropped or used.
+pub async fn attempt(
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+    body_len: usize,
+    flight: Flight,
+    give_up: oneshot::Receiver<()>,
+    happenings: mpsc::UnboundedSender<Happening>,
+) {
+    let before = connection.written.get();
+    let complete_at = before + least_size(&request, body_len);
+    let written = connection.written.clone();
+    let (end, keep) = {
+        let exchange = exchange(&mut connection.sender, request, &written, complete_at);
+        tokio::select! {
+            biased;
+            result = exchange => match result {
+                Ok(answer) => (End::Outcome(outcome_of(&answer), Some(answer)), true),
+                Err(Broken::Unsent) if connection.used && written.get() == before => (End::Stale, false),
+                Err(Broken::Unsent) => (End::Outcome(Outcome::Unreachable, None), false),
+                Err(Broken::Cut) => (End::Outcome(Outcome::Reset, None), false),
+                Err(Broken::TooLong) => {
+                    log::line(format!("upstream {}: an answer is longer than {BODY_BYTES} bytes", flight.upstream.0));
+                    (End::Outcome(Outcome::Error, None), false)
+                }
+            },
+            _ = give_up => (End::Outcome(Outcome::Cancelled, None), false),
+            () = sleep_until(flight.until) => (End::Outcome(Outcome::TimedOut, None), false),
+        }
+    };
+    if keep {
+        let _ = happenings.send(Happening::Ended { flight, end });
+        give_back(connection.settle().await, flight.upstream, flight.life, &happenings);
+        return;
+    }
+    // Closed before the driver hears of it: the next attempt must not go out while this one may still run.
+    connection.close().await;
+    let end = match end {
+        // The last byte was never written and now never will be.
+        End::Outcome(Outcome::TimedOut, None) if written.get() < complete_at => {
+            End::Outcome(Outcome::Unreachable, None)
+        }
+        end => end,
+    };
+    let _ = happenings.send(Happening::Ended { flight, end });
+}
+
+/// Probes an upstream over an idle connection, or a new one.
+pub async fn probe(
+    source: Source,
+    request: Request<Full<Bytes>>,
+    upstream: UpstreamId,
+    life: u64,
+    until: Instant,
+    happenings: mpsc::UnboundedSender<Happening>,
+) {
+    let opened = match source {
+        Source::Idle(connection) => Ok(*connection),
+        Source::Dial(dial, by, permit) => Connection::open(dial, by.min(until), permit).await,
+    };
+    let mut answer = None;
+    if let Ok(mut connection) = opened {
+        let written = connection.written.clone();
+        let result = timeout_at(until, exchange(&mut connection.sender, request, &written, 0)).await;
+        if let Ok(Ok(got)) = result {
+            answer = Some(got);
+            let _ = happenings.send(Happening::Probed { upstream, answer });
+            return give_back(connection.settle().await, upstream, life, &happenings);
+        }
+        connection.close().await;
+    }
+    let _ = happenings.send(Happening::Probed { upstream, answer });
+}
+
+fn give_back(
+    connection: Option<Connection>,
+    upstream: UpstreamId,
+    life: u64,
+    happenings: &mpsc::UnboundedSender<Happening>,
+) {
+    if let Some(connection) = connection {
+        let _ = happenings.send(Happening::Idle { upstream, life, connection: Box::new(connection) });
+    }
+}
+
+/// Where a probe gets its connection.
+pub enum Source {
+    /// One that is open.
+    Idle(Box<Connection>),
+    /// A new one to this address, by this time.
+    Dial(SocketAddr, Instant, OwnedSemaphorePermit),
+}
+
+/// The idle connections to one upstream, the latest used last.
+#[derive(Default)]
+pub struct Pool {
+    idle: Vec<Connection>,
+}
+
+impl Pool {
+    /// Takes the one used last, so that the others can grow old and close.
+    pub fn take(&mut self, idle_limit: Duration) -> Option<Connection> {
+        while let Some(connection) = self.idle.pop() {
+            if connection.is_usable() && connection.idle_since.elapsed() < idle_limit {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Takes one back.
+    pub fn put(&mut self, connection: Connection) {
+        self.idle.push(connection);
+    }
+
+    /// Closes those that were closed by the upstream or have been idle for too long.
+    pub fn sweep(&mut self, idle_limit: Duration) {
+        self.idle.retain(|c| c.is_usable() && c.idle_since.elapsed() < idle_limit);
+    }
+
+    /// Since when the one longest idle has been so.
+    pub fn oldest(&self) -> Option<Instant> {
+        self.idle.first().map(|connection| connection.idle_since)
+    }
+
+    /// Closes the one longest idle.
+    pub fn drop_oldest(&mut self) {
+        if !self.idle.is_empty() {
+            self.idle.remove(0);
+        }
+    }
+
+    /// Closes all.
+    pub fn clear(&mut self) {
+        self.idle.clear();
+    }
+}
+
+/// A new connection's permit goes with it; shared by all upstreams.
+pub type Permits = Arc<tokio::sync::Semaphore>;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -17,6 +17,10 @@
     over_share_worth: f64,
     #[serde(default)]
     zone: u64,
+    #[serde(default)]
+    azs: Vec<String>,
+    #[serde(default)]
+    kinds: Vec<String>,
     peers_total: u32,
     #[serde(default)]
     fees: HashMap<String, f64>,
@@ -30,6 +34,10 @@
 
 #[derive(Deserialize)]
 struct WireClass {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    hard_limit: f64,
     aim: f64,
     importance: f64,
     #[serde(default)]
@@ -60,6 +68,8 @@
 
 #[derive(Deserialize)]
 struct WireTenant {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     quota_per_s: f64,
 }
@@ -77,6 +87,18 @@
     retry_after: bool,
     #[serde(default)]
     max_retry_after: f64,
+    #[serde(default = "default_keepalive")]
+    keepalive: f64,
+    #[serde(default = "default_connect_timeout")]
+    connect_timeout: f64,
+}
+
+fn default_keepalive() -> f64 {
+    15_000.0
+}
+
+fn default_connect_timeout() -> f64 {
+    250.0
 }
 
 #[derive(Deserialize)]
@@ -98,6 +120,8 @@
 
 #[derive(Deserialize)]
 struct Telemetry {
+    #[serde(default)]
+    how: String,
     #[serde(default)]
     columns: Vec<String>,
 }
@@ -133,6 +157,78 @@
         }
     }
 
+    /// Tells what no sidecar could work with; the simulator's own settings always pass.
+    pub fn check(&self) -> Result<(), String> {
+        let positive = |name: &str, value: f64| {
+            let sound = value.is_finite() && value > 0.0 && value < 1e9;
+            if sound { Ok(()) } else { Err(format!("{name} is {value}")) }
+        };
+        if self.classes.is_empty() {
+            return Err("there are no classes".to_owned());
+        }
+        for class in &self.classes {
+            if class.name.is_empty() {
+                return Err("a class has no name".to_owned());
+            }
+            positive("aim", class.aim)?;
+            positive("hard_limit", class.hard_limit)?;
+            positive("importance", class.importance)?;
+        }
+        if self.allowed.max_attempts == 0 {
+            return Err("max_attempts is 0".to_owned());
+        }
+        positive("keepalive", self.allowed.keepalive)?;
+        positive("connect_timeout", self.allowed.connect_timeout)?;
+        positive("cold_share", self.invariants.cold_share)?;
+        positive("warm_up", self.invariants.warm_up)?;
+        positive("fall_multiple", self.invariants.fall_multiple)
+    }
+
+    /// Names and effects of the classes, by class id.
+    pub fn classes(&self) -> Vec<(String, Effect)> {
+        self.classes.iter().map(|class| (class.name.clone(), class.class().effect)).collect()
+    }
+
+    /// Names of the classes, by class id.
+    pub fn class_names(&self) -> impl Iterator<Item = &str> {
+        self.classes.iter().map(|class| class.name.as_str())
+    }
+
+    /// Names of the tenants, by tenant id.
+    pub fn tenant_names(&self) -> Vec<String> {
+        self.tenants.iter().map(|tenant| tenant.name.clone()).collect()
+    }
+
+    /// The number of a zone. One that the settings do not name gets a number that no other has.
+    pub fn zone_named(&self, name: &str) -> u64 {
+        number_of(&self.azs, name)
+    }
+
+    /// The number of a kind of machine, likewise.
+    pub fn kind_named(&self, name: &str) -> u64 {
+        number_of(&self.kinds, name)
+    }
+
+    /// The longest that any client waits, over all its tries.
+    pub fn longest_deadline_ms(&self) -> Millis {
+        self.classes.iter().map(|class| class.hard_limit).fold(0.0, f64::max)
+    }
+
+    /// After this long without use connections are closed.
+    pub fn keepalive_ms(&self) -> Millis {
+        self.allowed.keepalive
+    }
+
+    /// A connection that has not come up by then has failed.
+    pub fn connect_timeout_ms(&self) -> Millis {
+        self.allowed.connect_timeout
+    }
+
+    /// Whether answers to requests hold load reports.
+    pub fn reports_in_answers(&self) -> bool {
+        self.telemetry.how == "piggyback"
+    }
+
     /// The figures of a load report, in the order of a positional one.
     pub fn columns(&self) -> Vec<Column> {
         self.telemetry.columns.iter().map(|name| Column::named(name)).collect()
@@ -200,3 +296,47 @@
     }
     report
 }
+
+/// The place of a name in a list; for a stranger a number past the end, drawn from the name itself.
+fn number_of(names: &[String], name: &str) -> u64 {
+    let stranger = || name.bytes().fold(1 << 32, |sum: u64, byte| sum.wrapping_mul(257) + u64::from(byte));
+    names.iter().position(|known| known == name).map_or_else(stranger, |place| place as u64)
+}
+
+/// Reads a load report of the form `TEXT inflight=7, util=0.61`: the figures that the settings name. `None`
+/// where there is no sound one.
+pub fn report_from_text(columns: &[Column], text: &str) -> Option<Report> {
+    let figures = text.trim().strip_prefix("TEXT")?;
+    let (mut used, mut stats) = (Vec::new(), Vec::new());
+    for figure in figures.split(',') {
+        let Some((name, value)) = figure.split_once('=') else { continue };
+        let column = Column::named(name.trim());
+        let value = value.trim().parse().ok().filter(|v: &f64| (0.0..=MOST).contains(v));
+        if let (true, Some(value)) = (columns.contains(&column), value) {
+            used.push(column);
+            stats.push(value);
+        }
+    }
+    (!used.is_empty()).then(|| report(&used, &stats))
+}
+
+/// No figure of a load report is larger in earnest.
+const MOST: f64 = 1e6;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_is_read_from_text() {
+        let columns = [Column::InFlight, Column::Errors, Column::Utilisation];
+        let read = |text| report_from_text(&columns, text);
+        let report = read("TEXT inflight=7, queue=2, util=0.61").expect("two figures of three");
+        assert_eq!((report.in_flight, report.utilisation), (Some(7.0), Some(0.61)));
+        assert_eq!((report.errors_per_s, report.served_per_s), (None, None));
+        for absurd in ["", "TEXT", "JSON {}", "TEXT inflight=NaN", "TEXT inflight=-1,util=1e99", "TEXT qps=4"]
+        {
+            assert_eq!(read(absurd), None, "{absurd}");
+        }
+    }
+}
