--- a/src/main.rs
+++ b/src/main.rs
@@ -45,6 +45,8 @@
 async fn sidecar(config: Config) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
     let listener = client::listen(config.listen)?;
+    let address = listener.local_addr().context("the listener has no address")?;
+    log::line(format!("listening on {address}"));
     let (phase, phases) = watch::channel(Phase::Open);
     let (happenings, inbox) = mpsc::unbounded_channel();
     let seed = config.seed();
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -93,7 +93,6 @@
     at: Instant,
     /// Dropped or used to give it up; `None` once that was done.
     give_up: Option<oneshot::Sender<()>>,
-    connecting: bool,
 }
 
 /// A request without its final answer.
@@ -347,7 +346,7 @@
         let until = if timeout.is_zero() { open.deadline } else { (now + timeout).min(open.deadline) };
         let life = self.servers.get(&upstream).map_or(0, |server| server.life);
         let flight = Flight { request, attempt, upstream, life, until };
-        self.sent.insert((request, attempt), Sent { flight, at: now, give_up: None, connecting: false });
+        self.sent.insert((request, attempt), Sent { flight, at: now, give_up: None });
         self.start(flight);
     }
 
@@ -365,7 +364,7 @@
         let Some(permit) = self.permit() else { return self.end_later(flight, Outcome::NotSent) };
         let (give_up, given_up) = oneshot::channel();
         if let Some(sent) = self.sent.get_mut(&(flight.request, flight.attempt)) {
-            (sent.give_up, sent.connecting) = (Some(give_up), true);
+            sent.give_up = Some(give_up);
         }
         let by = Instant::now() + Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
         let happenings = self.happenings.clone();
@@ -424,7 +423,7 @@
         let body_len = open.forward.body.len();
         let (give_up, given_up) = oneshot::channel();
         if let Some(sent) = self.sent.get_mut(&key) {
-            (sent.give_up, sent.connecting) = (Some(give_up), false);
+            sent.give_up = Some(give_up);
         }
         let happenings = self.happenings.clone();
         tokio::spawn(attempt(connection, request, body_len, flight, given_up, happenings));
@@ -595,10 +594,10 @@
     *request.method_mut() = forward.method.clone();
     *request.uri_mut() = forward.target.clone();
     let mut headers = forward.headers.clone();
-    if let Some(host) = dial.filter(|_| !headers.contains_key(header::HOST)) {
-        if let Ok(host) = HeaderValue::from_str(&host.to_string()) {
-            headers.insert(header::HOST, host);
-        }
+    // The application's own Host goes on with its other headers; HTTP/1.1 wants one in any case.
+    let host = dial.filter(|_| !headers.contains_key(header::HOST));
+    if let Some(host) = host.and_then(|dial| HeaderValue::from_str(&dial.to_string()).ok()) {
+        headers.insert(header::HOST, host);
     }
     let left = until.saturating_duration_since(Instant::now()).as_millis().max(1) as u64;
     headers.insert("x-timeout-ms", HeaderValue::from(left));
--- /dev/null
+++ b/tests/loopback/mod.rs
@@ -0,0 +1,409 @@
+//! A small stage of real sockets: upstreams, discovery and clients that do as a test tells them.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, ErrorKind, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
+use std::time::{Duration, Instant};
+
+/// Nothing here takes this long unless it never comes.
+pub const FOREVER: Duration = Duration::from_secs(30);
+
+/// Waits for a condition.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < FOREVER, "waited in vain: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A message of HTTP/1.1 as it was read.
+#[derive(Debug, Clone, Default)]
+pub struct Message {
+    /// The first line.
+    pub line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// For an upstream: which of its connections it came on.
+    pub connection: usize,
+    /// For an upstream: its place among all that happened on this stage.
+    pub at: u64,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// Reads one message; `None` at the end of the connection or when it breaks.
+pub fn read_message(reader: &mut impl BufRead) -> Option<Message> {
+    let mut message = Message::default();
+    reader.read_line(&mut message.line).ok().filter(|read| *read > 0)?;
+    message.line = message.line.trim_end().to_owned();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        message.headers.push((name.to_owned(), value.trim().to_owned()));
+    }
+    let length = message.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    message.body = vec![0; length];
+    reader.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// What an upstream does with a request.
+#[derive(Clone)]
+pub enum Deed {
+    /// Answers: status, further header lines, body.
+    Answer(u16, &'static str, Vec<u8>),
+    /// Says nothing until the other side closes.
+    Silence,
+    /// Closes without a word.
+    Close,
+    /// Begins an answer and closes in the middle.
+    Torn,
+    /// Answers, and closes the connection a moment later without having said so.
+    AnswerAndClose,
+    /// Answers once the test says so.
+    Wait(Arc<AtomicUsize>),
+}
+
+impl Deed {
+    pub fn ok(body: &str) -> Deed {
+        Deed::Answer(200, "", body.as_bytes().to_vec())
+    }
+}
+
+#[derive(Default)]
+struct Log {
+    requests: Mutex<Vec<Message>>,
+    closed: Mutex<Vec<(usize, u64)>>,
+    connections: AtomicUsize,
+}
+
+/// The order of happenings over all upstreams of a test process.
+static CLOCK: AtomicU64 = AtomicU64::new(1);
+
+/// An upstream on a port of its own.
+pub struct Upstream {
+    pub address: SocketAddr,
+    log: Arc<Log>,
+}
+
+impl Upstream {
+    pub fn new(deed: impl Fn(&Message) -> Deed + Send + Sync + 'static) -> Upstream {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let log = Arc::new(Log::default());
+        let (deed, kept) = (Arc::new(deed), log.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (deed, log) = (deed.clone(), kept.clone());
+                std::thread::spawn(move || serve(stream, &*deed, &log));
+            }
+        });
+        Upstream { address, log }
+    }
+
+    /// The requests that came whole, probes apart.
+    pub fn requests(&self) -> Vec<Message> {
+        self.log.requests.lock().unwrap().clone()
+    }
+
+    pub fn connections(&self) -> usize {
+        self.log.connections.load(Ordering::SeqCst)
+    }
+
+    /// When a connection was closed from the other side.
+    pub fn closed(&self, connection: usize) -> Option<u64> {
+        self.log.closed.lock().unwrap().iter().find(|(c, _)| *c == connection).map(|(_, at)| *at)
+    }
+}
+
+fn serve(stream: TcpStream, deed: &dyn Fn(&Message) -> Deed, log: &Log) {
+    let connection = log.connections.fetch_add(1, Ordering::SeqCst);
+    let mut writer = stream.try_clone().unwrap();
+    let mut reader = BufReader::new(stream);
+    let answer = |status: u16, more: &str, body: &[u8]| {
+        let head = format!("HTTP/1.1 {status} x\r\nContent-Length: {}\r\n{more}\r\n", body.len());
+        [head.as_bytes(), body].concat()
+    };
+    while let Some(mut message) = read_message(&mut reader) {
+        if message.line.starts_with("GET /metrics/load ") {
+            let _ = writer.write_all(&answer(200, "", b"TEXT inflight=0, eps=0, util=0.1"));
+            continue;
+        }
+        message.connection = connection;
+        message.at = CLOCK.fetch_add(1, Ordering::SeqCst);
+        let what = deed(&message);
+        log.requests.lock().unwrap().push(message);
+        match what {
+            Deed::Answer(status, more, body) => drop(writer.write_all(&answer(status, more, &body))),
+            Deed::Silence => {}
+            Deed::Close => return drop(reader.get_ref().shutdown(Shutdown::Both)),
+            Deed::Torn => {
+                let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf of it");
+                return drop(reader.get_ref().shutdown(Shutdown::Both));
+            }
+            Deed::AnswerAndClose => {
+                let _ = writer.write_all(&answer(200, "", b"last"));
+                std::thread::sleep(Duration::from_millis(20));
+                return drop(reader.get_ref().shutdown(Shutdown::Both));
+            }
+            Deed::Wait(go) => {
+                until("the test lets go", || go.load(Ordering::SeqCst) > 0);
+                let _ = writer.write_all(&answer(200, "", b"late"));
+            }
+        }
+    }
+    log.closed.lock().unwrap().push((connection, CLOCK.fetch_add(1, Ordering::SeqCst)));
+}
+
+/// Discovery: what it is given to say, it says on every watch.
+pub struct Discovery {
+    pub address: SocketAddr,
+    lines: mpsc::Sender<Option<Vec<u8>>>,
+    watches: Arc<Mutex<Vec<String>>>,
+}
+
+impl Discovery {
+    /// Says this first on every watch.
+    pub fn new(first: &str) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (lines, said) = mpsc::channel::<Option<Vec<u8>>>();
+        let watches = Arc::new(Mutex::new(Vec::new()));
+        let (seen, first) = (watches.clone(), first.to_owned());
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                let Some(request) = read_message(&mut reader) else { continue };
+                seen.lock().unwrap().push(request.line);
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                let _ = chunk(&mut stream, format!("{first}\n").as_bytes());
+                loop {
+                    match said.recv_timeout(Duration::from_millis(300)) {
+                        Ok(Some(bytes)) => drop(chunk(&mut stream, &bytes)),
+                        // The test breaks the watch.
+                        Ok(None) => break,
+                        Err(mpsc::RecvTimeoutError::Timeout) if chunk(&mut stream, b"\n").is_err() => break,
+                        Err(mpsc::RecvTimeoutError::Timeout) => {}
+                        Err(mpsc::RecvTimeoutError::Disconnected) => return,
+                    }
+                }
+            }
+        });
+        Discovery { address, lines, watches }
+    }
+
+    pub fn say(&self, text: &str) {
+        self.lines.send(Some(text.as_bytes().to_vec())).unwrap();
+    }
+
+    pub fn break_off(&self) {
+        self.lines.send(None).unwrap();
+    }
+
+    /// The first lines of the watches so far.
+    pub fn watches(&self) -> Vec<String> {
+        self.watches.lock().unwrap().clone()
+    }
+}
+
+fn chunk(stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+    stream.write_all(format!("{:x}\r\n", bytes.len()).as_bytes())?;
+    stream.write_all(bytes)?;
+    stream.write_all(b"\r\n")
+}
+
+pub fn entry(host: &str, dial: SocketAddr, health: &str) -> String {
+    format!(
+        r#"{{"host":"{host}","dial":"{dial}","site":"east","class":"std","block":1,"health":"{health}","share":1.0,"born_ms":0}}"#
+    )
+}
+
+/// A list in discovery's form.
+pub fn list(seq: u64, whole: bool, entries: &[String]) -> String {
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, entries.join(","))
+}
+
+/// A list of ready upstreams named a, b, c...
+pub fn ready(upstreams: &[&Upstream]) -> String {
+    let name = |number: usize| char::from(b'a' + number as u8).to_string();
+    let entries: Vec<String> =
+        upstreams.iter().enumerate().map(|(n, u)| entry(&name(n), u.address, "ready")).collect();
+    list(5, true, &entries)
+}
+
+/// The settings, in the names of the wire. All servers share a cell.
+pub const SETTINGS: &str = r#"{"allowed":{"cancel":true,"connect_timeout":2000.0,"keepalive":60000.0,
+"max_attempts":4,"max_retry_after":600.0,"may_duplicate":false,"multiplex":1,"probes":true,"retry_after":true},
+"azs":["east","west"],"classes":[
+{"aim":3000.0,"dedup_scope":"all","effect":"repeatable","hard_limit":8000.0,"importance":3.0,"name":"fetch"},
+{"aim":3000.0,"dedup_scope":"cell","effect":"by_key","hard_limit":8000.0,"importance":3.0,"name":"log","window":5000.0},
+{"aim":3000.0,"dedup_scope":"all","effect":"once","hard_limit":8000.0,"importance":2.0,"name":"bill"}],
+"fees":{"cross_zone":0.03},"invariants":{"answer_slack":20.0,"cold_share":0.16,"drain_grace":2000.0,
+"fall":1500.0,"fall_multiple":2.5,"must_ask_in":400.0,"warm_up":21000.0},"kinds":["std"],
+"membership_mode":"automatic","peers_total":3,"period":5.0,"rank":0,
+"telemetry":{"columns":["inflight","eps","util"],"how":"pull"},"tenants":[],"weights":"rough","zone":0}"#;
+
+/// A configuration file; `known` is a list in discovery's form, or `null`.
+pub fn config(listen: &str, discovery: SocketAddr, known: &str, sockets: usize, settings: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+"limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+    )
+}
+
+/// The real program.
+pub struct Sidecar {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub log: Arc<Mutex<Vec<String>>>,
+}
+
+static FILES: AtomicUsize = AtomicUsize::new(0);
+
+/// Starts the program on a configuration, with its standard error piped.
+pub fn spawn(config: &str) -> Child {
+    let number = FILES.fetch_add(1, Ordering::SeqCst);
+    let name = format!("sagemast-{}-{number}.json", std::process::id());
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_sagemast"))
+        .env("ROUTER_CONFIG", &path)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
+impl Sidecar {
+    /// Starts it and waits until it listens.
+    pub fn start(config: &str) -> Sidecar {
+        let mut child = spawn(config);
+        let mut errors = BufReader::new(child.stderr.take().unwrap());
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let kept = log.clone();
+        std::thread::spawn(move || {
+            let mut line = String::new();
+            while errors.read_line(&mut line).is_ok_and(|read| read > 0) {
+                kept.lock().unwrap().push(std::mem::take(&mut line));
+            }
+        });
+        let mut address = None;
+        until("it listens", || {
+            let log = log.lock().unwrap();
+            let said = log.iter().find_map(|line| line.split_once("listening on ").map(|(_, at)| at));
+            address = said.and_then(|at| at.trim().parse().ok());
+            address.is_some()
+        });
+        Sidecar { child, address: address.unwrap(), log }
+    }
+
+    /// Starts it with these upstreams and waits until it is up.
+    pub fn with(upstreams: &[&Upstream]) -> (Sidecar, Discovery) {
+        Sidecar::with_settings(upstreams, SETTINGS)
+    }
+
+    pub fn with_settings(upstreams: &[&Upstream], settings: &str) -> (Sidecar, Discovery) {
+        let known = ready(upstreams);
+        let discovery = Discovery::new(&known);
+        let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, settings));
+        sidecar.wait_up();
+        (sidecar, discovery)
+    }
+
+    pub fn wait_up(&self) {
+        until("it is up", || Client::to(self.address).get("/up").is_some_and(|got| got.status() == 200));
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    pub fn wait_exit(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("it ends", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A client with one connection.
+pub struct Client {
+    pub reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn to(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(FOREVER)).unwrap();
+        Client { reader: BufReader::new(stream) }
+    }
+
+    pub fn write(&mut self, text: &[u8]) {
+        match self.reader.get_mut().write_all(text) {
+            Ok(()) => {}
+            // The other side has said no and closed: what it said is still to be read.
+            Err(error) if matches!(error.kind(), ErrorKind::BrokenPipe | ErrorKind::ConnectionReset) => {}
+            Err(error) => panic!("{error}"),
+        }
+    }
+
+    pub fn read(&mut self) -> Option<Message> {
+        read_message(&mut self.reader)
+    }
+
+    pub fn get(&mut self, path: &str) -> Option<Message> {
+        self.write(format!("GET {path} HTTP/1.1\r\nHost: api.internal\r\n\r\n").as_bytes());
+        self.read()
+    }
+
+    /// Sends a whole request of a class.
+    pub fn send(&mut self, class: &str, timeout_ms: u64) {
+        self.write(request(class, timeout_ms).as_bytes());
+    }
+
+    pub fn ask(&mut self, class: &str) -> Message {
+        self.send(class, 6_000);
+        self.read().expect("a whole answer")
+    }
+}
+
+static IDS: AtomicU64 = AtomicU64::new(1);
+
+/// A request as the application sends it.
+pub fn request(class: &str, timeout_ms: u64) -> String {
+    let id = IDS.fetch_add(1, Ordering::SeqCst);
+    let (method, key, body) = match class {
+        "fetch" => ("GET", "", ""),
+        "log" => ("POST", "Idempotency-Key: 5c0f6e1a2b3d4c59\r\n", "entry"),
+        _ => ("POST", "", "bill"),
+    };
+    let length = if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    format!(
+        "{method} /{class}?k=7f3a9c21 HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {id:016x}\r\n\
+         X-Priority-Class: {class}\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: {timeout_ms}\r\n{key}{length}\r\n{body}"
+    )
+}
--- /dev/null
+++ b/tests/sidecar.rs
@@ -0,0 +1,403 @@
+//! The sidecar as a process on loopback sockets: what it sends, and what it answers.
+
+mod loopback;
+
+use std::io::{Read, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use loopback::*;
+
+/// All requests that reached any of these.
+fn total(upstreams: &[&Upstream]) -> usize {
+    upstreams.iter().map(|upstream| upstream.requests().len()).sum()
+}
+
+/// One that treats the first request of all of its kind so, and serves later ones.
+fn first_then_ok(first: Deed) -> [Upstream; 2] {
+    let count = Arc::new(AtomicUsize::new(0));
+    [0, 1].map(|_| {
+        let (count, first) = (count.clone(), first.clone());
+        Upstream::new(move |_| {
+            if count.fetch_add(1, Ordering::SeqCst) == 0 { first.clone() } else { Deed::ok("served") }
+        })
+    })
+}
+
+#[test]
+fn a_request_goes_on_and_comes_back_unchanged() {
+    let upstream = Upstream::new(|m| Deed::Answer(200, "X-Note: kept\r\n", m.body.repeat(1_000)));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    let answer = client.ask("log");
+    assert_eq!((answer.status(), answer.body), (200, b"entry".repeat(1_000)));
+    let got = upstream.requests().remove(0);
+    assert_eq!(got.line, "POST /log?k=7f3a9c21 HTTP/1.1");
+    assert_eq!(got.body, b"entry");
+    assert_eq!(got.header("idempotency-key"), Some("5c0f6e1a2b3d4c59"));
+    assert_eq!(got.header("x-request-id").map(str::len), Some(16));
+    let left: u64 = got.header("x-timeout-ms").unwrap().parse().unwrap();
+    assert!((1..=6_000).contains(&left));
+    assert_eq!(client.ask("fetch").status(), 200);
+    assert_eq!(upstream.requests()[1].line, "GET /fetch?k=7f3a9c21 HTTP/1.1");
+}
+
+#[test]
+fn connections_are_used_again() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    for _ in 0..50 {
+        assert_eq!(client.ask("bill").status(), 200);
+    }
+    assert_eq!(upstream.requests().len(), 50);
+    // A probe and a request may be out together; 50 requests in a row need no third connection, but one may
+    // be asked for just before the last is given back.
+    assert!(upstream.connections() <= 4, "{} connections", upstream.connections());
+}
+
+#[test]
+fn what_may_have_run_is_not_sent_again_when_it_must_not() {
+    for deed in [Deed::Close, Deed::Torn, Deed::Answer(500, "", vec![]), Deed::Answer(503, "", vec![])] {
+        let [a, b] = first_then_ok(deed);
+        let (sidecar, _discovery) = Sidecar::with(&[&a, &b]);
+        let answer = Client::to(sidecar.address).ask("bill");
+        assert_eq!(answer.status(), 502, "a failure promises nothing; a refusal would");
+        assert_eq!(total(&[&a, &b]), 1);
+        assert_eq!(Client::to(sidecar.address).ask("bill").status(), 200);
+    }
+}
+
+#[test]
+fn what_never_ran_is_sent_again() {
+    let [a, b] = first_then_ok(Deed::Answer(503, "X-Not-Processed: 1\r\n", vec![]));
+    let (sidecar, _discovery) = Sidecar::with(&[&a, &b]);
+    assert_eq!(Client::to(sidecar.address).ask("bill").status(), 200);
+    assert_eq!(total(&[&a, &b]), 2);
+}
+
+#[test]
+fn a_torn_answer_is_never_passed_on() {
+    let [a, b] = first_then_ok(Deed::Torn);
+    let (sidecar, _discovery) = Sidecar::with(&[&a, &b]);
+    let answer = Client::to(sidecar.address).ask("fetch");
+    assert_eq!((answer.status(), answer.body), (200, b"served".to_vec()));
+}
+
+#[test]
+fn an_answer_that_is_too_long_is_an_error() {
+    let upstream = Upstream::new(|_| Deed::Answer(200, "", vec![b'x'; (64 << 10) + 1]));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    assert_eq!(Client::to(sidecar.address).ask("bill").status(), 502);
+    let whole = Upstream::new(|_| Deed::Answer(200, "", vec![b'x'; 64 << 10]));
+    let (sidecar, _discovery) = Sidecar::with(&[&whole]);
+    assert_eq!(Client::to(sidecar.address).ask("bill").body.len(), 64 << 10);
+}
+
+#[test]
+fn a_server_that_refuses_connections_has_run_nothing() {
+    let dead = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let known = list(5, true, &[entry("a", upstream.address, "ready"), entry("b", dead, "ready")]);
+    let discovery = Discovery::new(&known);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS));
+    sidecar.wait_up();
+    let mut client = Client::to(sidecar.address);
+    // Sent on, or refused once all attempts are used up; a failure would say that it may have run.
+    let answers: Vec<u16> = (0..20).map(|_| client.ask("bill").status()).collect();
+    assert!(answers.iter().all(|status| matches!(status, 200 | 503)), "{answers:?}");
+    assert_eq!(upstream.requests().len(), answers.iter().filter(|status| **status == 200).count());
+    assert!(answers.contains(&200));
+}
+
+#[test]
+fn an_idle_connection_that_was_closed_is_not_written_to() {
+    let upstream = Upstream::new(|_| Deed::AnswerAndClose);
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    for count in 1..=5 {
+        assert_eq!(client.ask("bill").status(), 200);
+        assert_eq!(upstream.requests().len(), count);
+        std::thread::sleep(Duration::from_millis(200));
+    }
+}
+
+#[test]
+fn an_attempt_is_closed_before_the_next_goes_out() {
+    let [a, b] = first_then_ok(Deed::Silence);
+    let (sidecar, _discovery) = Sidecar::with(&[&a, &b]);
+    let answer = Client::to(sidecar.address).ask("fetch");
+    assert_eq!(answer.status(), 200);
+    let mut requests: Vec<Message> = [&a, &b].iter().flat_map(|u| u.requests()).collect();
+    requests.sort_by_key(|request| request.at);
+    assert_eq!(requests.len(), 2);
+    assert_eq!(requests[0].header("x-request-id"), requests[1].header("x-request-id"));
+    let silent = if a.requests().iter().any(|r| r.at == requests[0].at) { &a } else { &b };
+    until("the silent connection is closed", || silent.closed(requests[0].connection).is_some());
+    // Both are noticed by threads of this test, so their order here is nearly, not quite, that of the sockets;
+    // what must hold is that the connection did close and served nothing after.
+    assert!(!requests[1..].iter().any(|r| silent.requests().iter().any(|s| s.at == r.at)
+        && r.connection == requests[0].connection));
+}
+
+#[test]
+fn every_request_is_answered_before_its_client_gives_up() {
+    let silent = Upstream::new(|_| Deed::Silence);
+    let (sidecar, _discovery) = Sidecar::with(&[&silent]);
+    for (class, refusal) in [("fetch", true), ("bill", false)] {
+        let mut client = Client::to(sidecar.address);
+        client.send(class, 400);
+        let answer = client.read().expect("an answer, not a closed connection");
+        assert_eq!(answer.status(), if refusal { 503 } else { 502 }, "{class}");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_attempt_with_it() {
+    let silent = Upstream::new(|_| Deed::Silence);
+    let (sidecar, _discovery) = Sidecar::with(&[&silent]);
+    let mut client = Client::to(sidecar.address);
+    client.send("bill", 8_000);
+    until("it has arrived", || silent.requests().len() == 1);
+    drop(client);
+    let connection = silent.requests()[0].connection;
+    until("the attempt is closed", || silent.closed(connection).is_some());
+}
+
+#[test]
+fn malformed_requests_never_reach_an_upstream() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let sound = request("log", 5_000);
+    let oversized = format!("Content-Length: {}\r\n", (64 << 10) + 1);
+    for (from, to, status) in [
+        ("/log?", "/other?", 404),
+        ("X-Priority-Class: log", "X-Priority-Class: fetch", 400),
+        ("X-Priority-Class: log\r\n", "", 400),
+        ("X-Request-ID", "X-Other-ID", 400),
+        ("X-Timeout-Ms: 5000\r\n", "", 400),
+        ("X-Timeout-Ms: 5000", "X-Timeout-Ms: soon", 400),
+        ("X-Timeout-Ms: 5000", "X-Timeout-Ms: -3", 400),
+        ("X-Timeout-Ms: 5000", "X-Timeout-Ms: 0", 400),
+        ("X-Timeout-Ms: 5000", "X-Timeout-Ms: 5000\r\nX-Timeout-Ms: 1", 400),
+        ("Idempotency-Key", "Other-Key", 400),
+        ("POST", "DELETE", 405),
+        ("Content-Length: 5\r\n", &oversized, 413),
+        ("HTTP/1.1", "HTP/7", 400),
+    ] {
+        assert!(sound.contains(from), "{from}");
+        let mut client = Client::to(sidecar.address);
+        client.write(sound.replacen(from, to, 1).as_bytes());
+        assert_eq!(client.read().expect("an answer").status(), status, "{to}");
+    }
+    // A body of unknown length is bounded as well.
+    let chunked = sound.replacen("Content-Length: 5\r\n\r\nentry", "Transfer-Encoding: chunked\r\n\r\n", 1);
+    let mut client = Client::to(sidecar.address);
+    client.write(chunked.as_bytes());
+    for _ in 0..5 {
+        client.write(format!("4000\r\n{}\r\n", "x".repeat(0x4000)).as_bytes());
+    }
+    assert_eq!(client.read().expect("an answer").status(), 413);
+    assert_eq!(upstream.requests().len(), 0);
+    assert_eq!(Client::to(sidecar.address).ask("log").status(), 200);
+}
+
+#[test]
+fn unknown_tenants_are_turned_away_where_there_are_tenants() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let settings = SETTINGS
+        .replace(r#""tenants":[]"#, r#""tenants":[{"name":"acme","quota_per_s":90.0,"fraction":1.0}]"#);
+    let (sidecar, _discovery) = Sidecar::with_settings(&[&upstream], &settings);
+    let mut client = Client::to(sidecar.address);
+    client.write(request("fetch", 5_000).replace("acme", "nobody").as_bytes());
+    assert_eq!(client.read().expect("an answer").status(), 400);
+    assert_eq!(client.ask("fetch").status(), 200);
+}
+
+#[test]
+fn a_drain_is_kept_and_news_come_however_they_are_cut() {
+    let [a, b, c] = [0, 1, 2].map(|_| Upstream::new(|_| Deed::ok("served")));
+    let (sidecar, discovery) = Sidecar::with(&[&a, &b]);
+    let mut client = Client::to(sidecar.address);
+    until("both serve", || {
+        client.ask("fetch");
+        !a.requests().is_empty() && !b.requests().is_empty()
+    });
+    // One line in three pieces, a second with nothing between, and a line that no one can read first.
+    let drain = list(6, false, &[entry("a", a.address, "draining")]);
+    let (head, tail) = drain.split_at(30);
+    discovery.say(head);
+    std::thread::sleep(Duration::from_millis(50));
+    discovery.say(&format!("{tail}\n{}\n", list(7, false, &[entry("c", c.address, "ready")])));
+    until("the newcomer serves", || {
+        client.ask("fetch");
+        !c.requests().is_empty()
+    });
+    let before = a.requests().len();
+    (0..40).for_each(|_| drop(client.ask("fetch")));
+    assert_eq!(a.requests().len(), before, "nothing new to one that drains");
+    // Who is missing from a whole list is gone.
+    discovery.say(&format!("{}\n", list(8, true, &[entry("c", c.address, "ready")])));
+    until("b is left alone", || {
+        let before = b.requests().len();
+        (0..20).for_each(|_| drop(client.ask("fetch")));
+        b.requests().len() == before
+    });
+}
+
+#[test]
+fn the_watch_survives_breaks_and_nonsense() {
+    let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+    let known = ready(&[&a]);
+    // What discovery says first on every watch brings the newcomer, too.
+    let discovery =
+        Discovery::new(&list(9, true, &[entry("a", a.address, "ready"), entry("b", b.address, "ready")]));
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS));
+    sidecar.wait_up();
+    until("it watches", || discovery.watches().len() == 1);
+    assert_eq!(discovery.watches()[0], "GET /discovery/hosts?watch=1&from=5 HTTP/1.1");
+    discovery.say("{\"seq\":10,\"whole\":true,\"hosts\"\n");
+    discovery.break_off();
+    until("it watches again", || discovery.watches().len() >= 2);
+    assert!(discovery.watches()[1].contains("from=0 "), "what the broken line said was missed");
+    discovery.break_off();
+    until("and again", || discovery.watches().len() >= 3);
+    let mut client = Client::to(sidecar.address);
+    until("the newcomer serves", || client.ask("fetch").status() == 200 && !b.requests().is_empty());
+}
+
+#[test]
+fn a_new_address_drops_the_old_connections() {
+    let [old, new] = ["old", "new"].map(|name| Upstream::new(move |_| Deed::ok(name)));
+    let (sidecar, discovery) = Sidecar::with(&[&old]);
+    let mut client = Client::to(sidecar.address);
+    assert_eq!(client.ask("fetch").body, b"old");
+    discovery.say(&format!("{}\n", list(6, false, &[entry("a", new.address, "ready")])));
+    until("the new address serves", || client.ask("fetch").body == b"new");
+    until("the old connections are closed", || {
+        (0..old.connections()).all(|connection| old.closed(connection).is_some())
+    });
+}
+
+#[test]
+fn where_discovery_is_asked_the_module_asks() {
+    let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+    let known = ready(&[&a]);
+    let discovery = Discovery::new(&list(9, true, &[entry("b", b.address, "ready")]));
+    let settings = SETTINGS.replace("automatic", "subscribe");
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, &settings));
+    sidecar.wait_up();
+    until("it watches", || !discovery.watches().is_empty());
+    let mut client = Client::to(sidecar.address);
+    until("the list is taken over", || client.ask("fetch").status() == 200 && !b.requests().is_empty());
+    discovery.break_off();
+    until("it asks again", || discovery.watches().len() >= 2);
+}
+
+#[test]
+fn it_is_up_only_with_a_list() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = nobody.local_addr().unwrap();
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", address, "null", 1024, SETTINGS));
+    assert_eq!(Client::to(sidecar.address).get("/up").expect("an answer").status(), 503);
+    // Discovery comes up at last.
+    let (mut watch, _) = nobody.accept().unwrap();
+    watch.read_exact(&mut [0; 16]).unwrap();
+    let line = ready(&[&upstream]);
+    write!(
+        watch,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{line}\n\r\n",
+        line.len() + 1
+    )
+    .unwrap();
+    sidecar.wait_up();
+    assert_eq!(Client::to(sidecar.address).ask("fetch").status(), 200);
+}
+
+#[test]
+fn sigterm_finishes_what_is_held_and_what_still_comes() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let let_go = go.clone();
+    let upstream = Upstream::new(move |m| {
+        if m.line.starts_with("POST") { Deed::Wait(let_go.clone()) } else { Deed::ok("served") }
+    });
+    let (mut sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let (mut held, mut idle, mut silent) =
+        (Client::to(sidecar.address), Client::to(sidecar.address), Client::to(sidecar.address));
+    assert_eq!(idle.ask("fetch").status(), 200);
+    held.send("bill", 8_000);
+    until("it is held", || upstream.requests().len() == 2);
+    sidecar.signal("-TERM");
+    until("it has heard", || sidecar.log.lock().unwrap().iter().any(|line| line.contains("SIGTERM")));
+    // Clients still come, on new connections and on ones that have carried nothing so far.
+    for client in [&mut Client::to(sidecar.address), &mut silent] {
+        let answer = client.ask("fetch");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    }
+    assert!(idle.read().is_none(), "an idle connection is closed");
+    go.store(1, Ordering::SeqCst);
+    assert_eq!(held.read().expect("a whole answer").body, b"late");
+    assert!(sidecar.wait_exit().success());
+}
+
+#[test]
+fn after_sigkill_the_next_start_takes_the_same_address() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (mut sidecar, discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    assert_eq!(client.ask("fetch").status(), 200);
+    sidecar.child.kill().unwrap();
+    sidecar.child.wait().unwrap();
+    let listen = sidecar.address.to_string();
+    let next = Sidecar::start(&config(&listen, discovery.address, &ready(&[&upstream]), 1024, SETTINGS));
+    next.wait_up();
+    assert_eq!(Client::to(next.address).ask("fetch").status(), 200);
+}
+
+#[test]
+fn bad_configurations_end_it_with_one_plain_line() {
+    let nowhere = "127.0.0.1:9".parse().unwrap();
+    let sound = config("127.0.0.1:0", nowhere, "null", 1024, SETTINGS);
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let busy = config(&taken.local_addr().unwrap().to_string(), nowhere, "null", 1024, SETTINGS);
+    for text in ["", "{}", "[1", &sound.replace("\"aim\":3000.0", "\"aim\":\"x\""), &busy] {
+        let output = spawn(text).wait_with_output().unwrap();
+        assert_eq!(output.status.code(), Some(1), "{text}");
+        let error = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(error.lines().count(), 1, "{error}");
+    }
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_sagemast"))
+        .env_remove("ROUTER_CONFIG")
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8(output.stderr).unwrap().contains("ROUTER_CONFIG"));
+}
+
+#[test]
+fn more_clients_than_sockets_are_all_served_in_the_end() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let known = ready(&[&upstream]);
+    let discovery = Discovery::new(&known);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 64, SETTINGS));
+    sidecar.wait_up();
+    let address = sidecar.address;
+    let clients: Vec<_> = (0..100)
+        .map(|_| {
+            std::thread::spawn(move || {
+                let mut client = Client::to(address);
+                // Each keeps its connection as long as the sidecar lets it.
+                let answers = (0..3).map_while(|_| {
+                    client.send("fetch", 20_000);
+                    client.read()
+                });
+                answers.filter(|answer| matches!(answer.status(), 200 | 503)).count()
+            })
+        })
+        .collect();
+    for client in clients {
+        assert!(client.join().unwrap() >= 1, "each gets a whole answer");
+    }
+}
