Harden the sidecar: scarce sockets, missed news, a failed driver, keyed windows

Found by reading, not by a run: silent clients could keep others out while connections are scarce (75 s until closed, now 2 s); in subscribe mode a line that could not be read was not made up for; a driver that failed would have left the process deaf (now it ends, to be started anew); an absolute URL went on to upstreams as it was; a keyed send near the end of its window could be written after it, since connecting takes up to the connect time-out while the module keeps only the simulator's tick in hand. Tests over sockets for the first and the URL; accepting with no descriptors left backs off, as a test under ulimit shows.

--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, bail};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
@@ -17,9 +17,9 @@
 use net::log;
 
 /// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
-const STILL_COMING: Duration = Duration::from_millis(500);
+const STILL_COMING: Duration = Duration::from_millis(550);
 /// After the longest deadline and this, SIGKILL is close.
-const LAST_MARGIN: Duration = Duration::from_millis(600);
+const LAST_MARGIN: Duration = Duration::from_millis(640);
 /// Descriptors for standard streams, the listener, discovery and the runtime.
 const OWN_SOCKETS: usize = 24;
 
@@ -44,6 +44,7 @@
 
 async fn sidecar(config: Config) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
     let listener = client::listen(config.listen)?;
     let address = listener.local_addr().context("the listener has no address")?;
     log::line(format!("listening on {address}"));
@@ -55,11 +56,15 @@
     let front = Arc::new(Front::new(names, phases, happenings));
     let each = (config.limits.sockets - OWN_SOCKETS) / 2;
     let driver = Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, each);
-    tokio::spawn(driver.run(config.known));
+    let driver = tokio::spawn(driver.run(config.known));
     let serving = tokio::spawn(client::serve(listener, front, each));
 
-    terminate.recv().await;
-    log::line("SIGTERM: finishing what is held");
+    tokio::select! {
+        _ = terminate.recv() => log::line("SIGTERM: finishing what is held"),
+        _ = interrupt.recv() => log::line("SIGINT: finishing what is held"),
+        // It never ends by itself. Without it nothing is answered: better to be started anew.
+        _ = driver => bail!("the driver has failed"),
+    }
     phase.send_replace(Phase::Leaving);
     sleep(STILL_COMING).await;
     phase.send_replace(Phase::Closing);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -29,6 +29,8 @@
 const BUFFER_BYTES: usize = 32 << 10;
 /// A connection on which no whole head comes for this long is closed.
 const IDLE: Duration = Duration::from_secs(75);
+/// The same while connections are scarce: silent ones must not keep others out.
+const IDLE_CROWDED: Duration = Duration::from_secs(2);
 /// The same once the sidecar ends and only sweeps up.
 const IDLE_AT_END: Duration = Duration::from_millis(150);
 /// A body must come in this time.
@@ -200,7 +202,11 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(if now == Phase::Closing { IDLE_AT_END } else { IDLE })
+        .header_read_timeout(match now {
+            Phase::Closing => IDLE_AT_END,
+            _ if crowded => IDLE_CROWDED,
+            _ => IDLE,
+        })
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
@@ -265,9 +271,11 @@
         Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come"),
     };
     let at = Instant::now();
+    // A client may name the whole URL; upstreams are asked for the path in any case.
+    let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
     let request = RequestId(front.next_id.fetch_add(1, Ordering::Relaxed));
     let (reply, answer) = oneshot::channel();
-    let forward = Forward { method: head.method, target: head.uri, headers: end_to_end(&head.headers), body };
+    let forward = Forward { method: head.method, target, headers: end_to_end(&head.headers), body };
     let arrival = Arrival { request, class, tenant, at, time_left, forward, reply };
     let mut guard = Guard { request, front, answered: false };
     let _ = front.happenings.send(Happening::Arrived(Box::new(arrival)));
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -166,7 +166,7 @@
     pub async fn ask(mut self) {
         let Err(end) = self.once().await;
         log::line(format!("discovery: {end:#}"));
-        let _ = self.news.send(Happening::DiscoveryFailed);
+        let _ = self.news.send(Happening::DiscoveryFailed { seq: self.seq });
     }
 
     async fn once(&mut self) -> Result<std::convert::Infallible> {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -84,7 +84,10 @@
     /// Discovery told something.
     Listed(HostList),
     /// A call to discovery failed or the watch ended.
-    DiscoveryFailed,
+    DiscoveryFailed {
+        /// The version to go on from: 0 if something was missed.
+        seq: u64,
+    },
 }
 
 /// A send that has not ended.
@@ -156,10 +159,14 @@
         max_connections: usize,
     ) -> Driver {
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let mut told = settings.settings();
+        // The module keeps one tick in hand before a key's window ends, since in the simulator a send is on
+        // its way at once. Here it may first have to connect.
+        told.limits.tick = told.limits.tick.max(settings.connect_timeout_ms());
         Driver {
-            module: Balancer::new(settings.settings(), seed),
+            subscribed: matches!(told.discovery, Discovery::Subscribed { .. }),
+            module: Balancer::new(told, seed),
             columns: settings.columns(),
-            subscribed: matches!(settings.settings().discovery, Discovery::Subscribed { .. }),
             happenings: front.happenings.clone(),
             front,
             inbox,
@@ -274,7 +281,10 @@
                 self.event(Event::Probed { upstream, answered, report });
             }
             Happening::Listed(list) => self.listed(&list, false),
-            Happening::DiscoveryFailed => self.event(Event::Listed(ListNews::Unavailable)),
+            Happening::DiscoveryFailed { seq } => {
+                self.seq = seq;
+                self.event(Event::Listed(ListNews::Unavailable));
+            }
         }
     }
 
@@ -325,7 +335,8 @@
             }
             Action::Probe(upstream) => self.probe(upstream),
             Action::WakeAt { at, token } => {
-                let at = self.epoch + Duration::try_from_secs_f64(at / 1e3).unwrap_or_default();
+                let after = Duration::try_from_secs_f64(at / 1e3).unwrap_or_default();
+                let at = self.epoch.checked_add(after).unwrap_or_else(Instant::now);
                 self.set_timer(at, Timer::Wake(token));
             }
             Action::Subscribe => {
@@ -343,7 +354,10 @@
         let attempt = AttemptNo(open.sends);
         open.sends += 1;
         let timeout = Duration::try_from_secs_f64(timeout / 1e3).unwrap_or_default();
-        let until = if timeout.is_zero() { open.deadline } else { (now + timeout).min(open.deadline) };
+        let until = match now.checked_add(timeout) {
+            Some(until) if !timeout.is_zero() => until.min(open.deadline),
+            _ => open.deadline,
+        };
         let life = self.servers.get(&upstream).map_or(0, |server| server.life);
         let flight = Flight { request, attempt, upstream, life, until };
         self.sent.insert((request, attempt), Sent { flight, at: now, give_up: None });
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -275,11 +275,18 @@
 
 /// Starts the program on a configuration, with its standard error piped.
 pub fn spawn(config: &str) -> Child {
+    spawn_with(config, None)
+}
+
+/// The same with a limit on its descriptors.
+fn spawn_with(config: &str, descriptors: Option<u32>) -> Child {
     let number = FILES.fetch_add(1, Ordering::SeqCst);
     let name = format!("sagemast-{}-{number}.json", std::process::id());
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_sagemast"))
+    let limit = descriptors.map_or(String::new(), |count| format!("ulimit -n {count} && "));
+    Command::new("sh")
+        .args(["-c", &format!("{limit}exec \"$0\""), env!("CARGO_BIN_EXE_sagemast")])
         .env("ROUTER_CONFIG", &path)
         .stdin(Stdio::null())
         .stdout(Stdio::null())
@@ -291,7 +298,12 @@
 impl Sidecar {
     /// Starts it and waits until it listens.
     pub fn start(config: &str) -> Sidecar {
-        let mut child = spawn(config);
+        Sidecar::start_with(config, None)
+    }
+
+    /// The same with a limit on its descriptors.
+    pub fn start_with(config: &str, descriptors: Option<u32>) -> Sidecar {
+        let mut child = spawn_with(config, descriptors);
         let mut errors = BufReader::new(child.stderr.take().unwrap());
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -401,3 +401,34 @@
         assert!(client.join().unwrap() >= 1, "each gets a whole answer");
     }
 }
+
+#[test]
+fn running_out_of_descriptors_is_survived() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let known = ready(&[&upstream]);
+    let discovery = Discovery::new(&known);
+    // Told that there are many, it finds that there are few.
+    let text = config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS);
+    let sidecar = Sidecar::start_with(&text, Some(32));
+    sidecar.wait_up();
+    let mut clients: Vec<Client> = (0..60).map(|_| Client::to(sidecar.address)).collect();
+    until("accepting fails", || {
+        sidecar.log.lock().unwrap().iter().any(|line| line.contains("cannot accept"))
+    });
+    clients.drain(..50);
+    until("it serves again", || {
+        let mut client = Client::to(sidecar.address);
+        client.send("fetch", 5_000);
+        client.read().is_some_and(|answer| answer.status() == 200)
+    });
+}
+
+#[test]
+fn a_whole_url_is_asked_for_by_its_path() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    client.write(request("fetch", 5_000).replace("GET /", "GET http://api.internal/").as_bytes());
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    assert_eq!(upstream.requests()[0].line, "GET /fetch?k=7f3a9c21 HTTP/1.1");
+}
