Further attempts prefer servers that the request has not tried

Seen: with one of two servers refusing connections, an unsafe request ended in 503 after four attempts at the dead server. Ruled out: the sidecar; each attempt ended as unreachable at once. At fault: survey() in brain.rs, whose healthy did not look at the request's own tries, while the ejection bar takes some ten failures to reach. The loopback test that had been softened for it asserts again that all are served. Also: a client connection is read before the phase is looked at, so that fewer requests cross its close.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -246,7 +246,8 @@
                 id,
                 near: upstream.zone == self.settings.zone,
                 unsure: may_hold && self.now - upstream.reported_at > HOLD_AFTER * service,
-                healthy: self.takes_part(upstream),
+                // One that has just failed this request is the likeliest to fail it again.
+                healthy: self.takes_part(upstream) && held.tries.iter().all(|t| t.upstream != id),
                 projected: (in_flight + 1.0) / kappa * slowness,
                 depth,
                 // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
@@ -381,7 +382,7 @@
         let sent = self.now;
         let Some(upstream) = self.upstreams.get_mut(&to.id) else { return };
         upstream.outstanding.push(Outstanding { request, attempt, class, sent, to });
-        let this = Try { zone: upstream.zone, cell: upstream.cell, sent, out: true, may_have_run: true };
+        let this = Try::new(to.id, upstream, sent);
         if let Some(held) = self.requests.get_mut(&request) {
             held.tries.push(this);
             held.pair = None;
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -212,6 +212,9 @@
     let mut connection = std::pin::pin!(connection);
     loop {
         tokio::select! {
+            // First read what has come, then look at the phase: a request that waits in the socket when its
+            // idle connection is closed would have to be sent again.
+            biased;
             // Errors here are clients that left or wrote nonsense; hyper has answered those it can.
             _ = connection.as_mut() => return,
             changed = phase.changed() => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,7 @@
 /// One send of a request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Try {
+    pub upstream: UpstreamId,
     pub zone: ZoneId,
     pub cell: CellId,
     pub sent: Millis,
@@ -14,6 +15,13 @@
     pub may_have_run: bool,
 }
 
+impl Try {
+    /// A send that has just gone out to this server.
+    pub fn new(id: UpstreamId, to: &Upstream, sent: Millis) -> Try {
+        Try { upstream: id, zone: to.zone, cell: to.cell, sent, out: true, may_have_run: true }
+    }
+}
+
 /// A request that is owed an answer.
 #[derive(Debug, Clone)]
 pub(crate) struct Held {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -105,11 +105,10 @@
     let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS));
     sidecar.wait_up();
     let mut client = Client::to(sidecar.address);
-    // Sent on, or refused once all attempts are used up; a failure would say that it may have run.
-    let answers: Vec<u16> = (0..20).map(|_| client.ask("bill").status()).collect();
-    assert!(answers.iter().all(|status| matches!(status, 200 | 503)), "{answers:?}");
-    assert_eq!(upstream.requests().len(), answers.iter().filter(|status| **status == 200).count());
-    assert!(answers.contains(&200));
+    for _ in 0..10 {
+        assert_eq!(client.ask("bill").status(), 200, "unsafe, but it cannot have run, and goes elsewhere");
+    }
+    assert_eq!(upstream.requests().len(), 10);
 }
 
 #[test]
