Do not write an attempt whose time ran out while it connected; log failed connects by host

Found by reading: connected() in driver.rs looked at the request and the upstream, not at the attempt's time, so one that came up too late was written and given up at once. A loopback test fills an accept queue to hold an attempt in its connect while the upstream drains; it fails when the check of the drain is undone.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -109,6 +109,7 @@
 
 /// An upstream that discovery named.
 struct Server {
+    host: String,
     listing: Listing,
     dial: SocketAddr,
     born_ms: f64,
@@ -406,18 +407,23 @@
         let given_up = self.sent.get(&key).is_none_or(|sent| sent.give_up.is_none());
         let connection = match connection {
             Ok(connection) => *connection,
-            Err(_) => {
+            Err(reason) => {
+                if !given_up {
+                    let host = self.servers.get(&flight.upstream).map_or("?", |server| &server.host);
+                    log::line(format!("upstream {host}: {reason}"));
+                }
                 let outcome = if given_up { Outcome::NotSent } else { Outcome::Unreachable };
                 return self.ended(flight, End::Outcome(outcome, None));
             }
         };
-        // While it connected, the request may have ended or the upstream may have begun to drain or to live
-        // anew: what is not written yet must not be.
+        // While it connected, its time may have run out, the request may have ended or the upstream may have
+        // begun to drain or to live anew: what is not written yet must not be.
         let open = self.open.contains_key(&flight.request) && !given_up;
+        let in_time = Instant::now() < flight.until;
         let wanted = self.servers.get(&flight.upstream).is_some_and(|server| {
             server.life == flight.life && server.listing.lifecycle == Lifecycle::Serving
         });
-        if open && wanted {
+        if open && wanted && in_time {
             return self.write(flight, connection);
         }
         self.put_back(flight.upstream, flight.life, connection);
@@ -576,6 +582,7 @@
             started,
         };
         let server = self.servers.entry(id).or_insert_with(|| Server {
+            host: host.host.clone(),
             listing: listing.clone(),
             dial: host.dial,
             born_ms: host.born_ms,
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -455,3 +455,48 @@
     assert_eq!(Client::to(sidecar.address).ask("log").status(), 502);
     assert_eq!(total(&[&a, &b]), 1);
 }
+
+#[test]
+fn an_attempt_that_is_still_connecting_when_its_upstream_drains_is_not_written() {
+    // An upstream whose accept queue is full: connections to it come up only once it accepts again.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let slow = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        socket.listen(1).unwrap().into_std().unwrap()
+    });
+    slow.set_nonblocking(false).unwrap();
+    let address = slow.local_addr().unwrap();
+    let queue = [0, 1].map(|_| std::net::TcpStream::connect(address).unwrap());
+    let other = Upstream::new(|_| Deed::ok("elsewhere"));
+    let known = list(5, true, &[entry("slow", address, "ready")]);
+    let discovery = Discovery::new(&known);
+    let settings = SETTINGS
+        .replace(r#""connect_timeout":2000.0"#, r#""connect_timeout":25000.0"#)
+        .replace(r#""aim":3000.0"#, r#""aim":60000.0"#);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, &settings));
+    sidecar.wait_up();
+    let mut client = Client::to(sidecar.address);
+    client.send("bill", 60_000);
+    // Long enough for its probes to fail and the attempt to begin; were it not, nothing would fail here.
+    std::thread::sleep(Duration::from_millis(1_000));
+    let news = [entry("slow", address, "draining"), entry("other", other.address, "ready")];
+    discovery.say(&format!("{}\n", list(6, false, &news)));
+    until("the news have come", || Client::to(sidecar.address).ask("fetch").body == b"elsewhere");
+    let written = Arc::new(AtomicUsize::new(0));
+    let seen = written.clone();
+    std::thread::spawn(move || {
+        for mut stream in slow.incoming().flatten() {
+            let seen = seen.clone();
+            std::thread::spawn(move || {
+                let mut head = [0; 4];
+                if stream.read_exact(&mut head).is_ok() && &head == b"POST" {
+                    seen.fetch_add(1, Ordering::SeqCst);
+                }
+            });
+        }
+    });
+    drop(queue);
+    assert_eq!(client.read().expect("an answer").body, b"elsewhere");
+    assert_eq!(written.load(Ordering::SeqCst), 0);
+}
