Reload the configuration on SIGHUP in place of ending

Checked: 129 is 128 + SIGHUP, and `sidecar` in main.rs registered SIGTERM and SIGINT only; nothing was in the log, so it was no panic. Ruled out: a bad file (it never came to be read).

The driver takes the new discovery address, keeps list, version and connections and watches anew at once. Watches are numbered, so what an old one still had on its way to the driver sets neither the version nor the list; the new one tells it again.

The test lost its program to the signal before the change.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -140,6 +140,8 @@
 pub struct Watch {
     /// Discovery's address.
     pub address: SocketAddr,
+    /// Its number: what an earlier one left on its way to the driver is not to be believed any more.
+    pub number: u64,
     /// The version that the sidecar has.
     pub seq: u64,
     /// To the driver.
@@ -166,7 +168,7 @@
     pub async fn ask(mut self) {
         let Err(end) = self.once().await;
         log::line(format!("discovery: {end:#}"));
-        let _ = self.news.send(Happening::DiscoveryFailed { seq: self.seq });
+        let _ = self.news.send(Happening::DiscoveryFailed { watch: self.number, seq: self.seq });
     }
 
     async fn once(&mut self) -> Result<std::convert::Infallible> {
@@ -209,7 +211,8 @@
         match serde_json::from_slice::<HostList>(line) {
             Ok(list) => {
                 self.seq = list.seq;
-                self.news.send(Happening::Listed(list)).context("the driver has ended")?;
+                let news = Happening::Listed { watch: self.number, list };
+                self.news.send(news).context("the driver has ended")?;
             }
             // What the line said is missed: only the whole list can make up for it.
             Err(error) => {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -82,9 +82,21 @@
         answer: Option<Answer>,
     },
     /// Discovery told something.
-    Listed(HostList),
+    Listed {
+        /// To which watch.
+        watch: u64,
+        /// What.
+        list: HostList,
+    },
+    /// The configuration was read again.
+    Reloaded {
+        /// Where discovery is asked from now on.
+        discovery: SocketAddr,
+    },
     /// A call to discovery failed or the watch ended.
     DiscoveryFailed {
+        /// Which.
+        watch: u64,
         /// The version to go on from: 0 if something was missed.
         seq: u64,
     },
@@ -135,6 +147,8 @@
     discovery: SocketAddr,
     seq: u64,
     watch: Option<AbortOnDrop>,
+    /// The number of the present watch.
+    watches: u64,
     epoch: Instant,
     /// Unix time at the epoch, in milliseconds.
     epoch_unix_ms: f64,
@@ -174,6 +188,7 @@
             discovery,
             seq: 0,
             watch: None,
+            watches: 0,
             epoch: Instant::now(),
             epoch_unix_ms: unix.map_or(0.0, |since| since.as_secs_f64() * 1e3),
             open: HashMap::new(),
@@ -194,7 +209,7 @@
         let known = known.unwrap_or(HostList { seq: 0, whole: true, hosts: Vec::new() });
         self.listed(&known, true);
         if !self.subscribed {
-            self.watch = Some(AbortOnDrop(tokio::spawn(self.new_watch().keep())));
+            self.watch();
         }
         self.set_timer(Instant::now() + SWEEP, Timer::Sweep);
         loop {
@@ -211,8 +226,17 @@
         }
     }
 
-    fn new_watch(&self) -> Watch {
-        Watch { address: self.discovery, seq: self.seq, news: self.happenings.clone(), missed: false }
+    /// Watches from here on in place of the watch before. What that one had on its way is dropped; the new
+    /// one tells it again, since it goes on from the last version that was taken in.
+    fn watch(&mut self) {
+        self.watches += 1;
+        let (address, number, news) = (self.discovery, self.watches, self.happenings.clone());
+        let watch = Watch { address, number, seq: self.seq, news, missed: false };
+        self.watch = Some(AbortOnDrop(if self.subscribed {
+            tokio::spawn(watch.ask())
+        } else {
+            tokio::spawn(watch.keep())
+        }));
     }
 
     /// The module's clock.
@@ -281,11 +305,17 @@
                 let report = text.and_then(|text| report_from_text(&self.columns, text));
                 self.event(Event::Probed { upstream, answered, report });
             }
-            Happening::Listed(list) => self.listed(&list, false),
-            Happening::DiscoveryFailed { seq } => {
+            Happening::Listed { watch, list } if watch == self.watches => self.listed(&list, false),
+            Happening::DiscoveryFailed { watch, seq } if watch == self.watches => {
                 self.seq = seq;
                 self.event(Event::Listed(ListNews::Unavailable));
             }
+            // Of a watch that another has taken the place of.
+            Happening::Listed { .. } | Happening::DiscoveryFailed { .. } => {}
+            Happening::Reloaded { discovery } => {
+                self.discovery = discovery;
+                self.watch();
+            }
         }
     }
 
@@ -340,9 +370,7 @@
                 let at = self.epoch.checked_add(after).unwrap_or_else(Instant::now);
                 self.set_timer(at, Timer::Wake(token));
             }
-            Action::Subscribe => {
-                self.watch = Some(AbortOnDrop(tokio::spawn(self.new_watch().ask())));
-            }
+            Action::Subscribe => self.watch(),
             Action::Log(text) => log::line(text),
         }
     }
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
@@ -274,6 +275,8 @@
 /// The real program.
 pub struct Sidecar {
     pub child: Child,
+    /// Its configuration file.
+    pub file: PathBuf,
     pub address: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
 }
@@ -282,24 +285,25 @@
 
 /// Starts the program on a configuration, with its standard error piped.
 pub fn spawn(config: &str) -> Child {
-    spawn_with(config, None)
+    spawn_with(config, None).0
 }
 
 /// The same with a limit on its descriptors.
-fn spawn_with(config: &str, descriptors: Option<u32>) -> Child {
+fn spawn_with(config: &str, descriptors: Option<u32>) -> (Child, PathBuf) {
     let number = FILES.fetch_add(1, Ordering::SeqCst);
     let name = format!("sagemast-{}-{number}.json", std::process::id());
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).unwrap();
     let limit = descriptors.map_or(String::new(), |count| format!("ulimit -n {count} && "));
-    Command::new("sh")
+    let child = Command::new("sh")
         .args(["-c", &format!("{limit}exec \"$0\""), env!("CARGO_BIN_EXE_sagemast")])
         .env("ROUTER_CONFIG", &path)
         .stdin(Stdio::null())
         .stdout(Stdio::null())
         .stderr(Stdio::piped())
         .spawn()
-        .unwrap()
+        .unwrap();
+    (child, path)
 }
 
 impl Sidecar {
@@ -310,7 +314,7 @@
 
     /// The same with a limit on its descriptors.
     pub fn start_with(config: &str, descriptors: Option<u32>) -> Sidecar {
-        let mut child = spawn_with(config, descriptors);
+        let (mut child, file) = spawn_with(config, descriptors);
         let mut errors = BufReader::new(child.stderr.take().unwrap());
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
@@ -327,7 +331,7 @@
             address = said.and_then(|at| at.trim().parse().ok());
             address.is_some()
         });
-        Sidecar { child, address: address.unwrap(), log }
+        Sidecar { child, file, address: address.unwrap(), log }
     }
 
     /// Starts it with these upstreams and waits until it is up.
@@ -343,6 +347,19 @@
         (sidecar, discovery)
     }
 
+    /// Waits until its log holds this.
+    pub fn wait_log(&self, text: &str) {
+        until(text, || self.log.lock().unwrap().iter().any(|line| line.contains(text)));
+    }
+
+    /// Puts another configuration in the place of its file and tells it so.
+    pub fn reload(&self, config: &str) {
+        let beside = self.file.with_extension("new");
+        std::fs::write(&beside, config).unwrap();
+        std::fs::rename(&beside, &self.file).unwrap();
+        self.signal("-HUP");
+    }
+
     pub fn wait_up(&self) {
         until("it is up", || Client::to(self.address).get("/up").is_some_and(|got| got.status() == 200));
     }
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -308,6 +308,50 @@
     until("it asks again", || discovery.watches().len() >= 2);
 }
 
+#[test]
+fn sighup_moves_the_watch_and_keeps_list_and_connections() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let let_go = go.clone();
+    let a =
+        Upstream::new(
+            move |m| {
+                if m.line.starts_with("POST") { Deed::Wait(let_go.clone()) } else { Deed::ok("old") }
+            },
+        );
+    let b = Upstream::new(|_| Deed::ok("new"));
+    let (sidecar, old) = Sidecar::with(&[&a]);
+    let mut held = Client::to(sidecar.address);
+    held.send("bill", 20_000);
+    until("it is held", || a.requests().len() == 1);
+    until("it watches", || old.watches().len() == 1);
+    let sound = |discovery| config("127.0.0.1:0", discovery, "null", 1024, SETTINGS);
+    // What is not sound is told and changes nothing.
+    for text in ["", "{\"discovery\":\"127.0.0.1:1\"}"] {
+        sidecar.log.lock().unwrap().clear();
+        sidecar.reload(text);
+        sidecar.wait_log("the old configuration stays");
+    }
+    assert_eq!(Client::to(sidecar.address).ask("fetch").body, b"old");
+    // Twice: the second must not find that the first has used up what there is.
+    let entries = [entry("a", a.address, "ready"), entry("b", b.address, "ready")];
+    let next = Discovery::new(&list(6, true, &entries));
+    sidecar.reload(&sound(next.address));
+    let mut client = Client::to(sidecar.address);
+    until("the newcomer serves", || client.ask("fetch").body == b"new");
+    assert_eq!(next.watches()[0], "GET /discovery/hosts?watch=1&from=5 HTTP/1.1");
+    let last = Discovery::new(&list(7, false, &[entry("b", b.address, "draining")]));
+    sidecar.reload(&sound(last.address));
+    until("it watches the last one", || last.watches().len() == 1);
+    assert!(last.watches()[0].contains("from=6 "));
+    // The old ones are believed no more.
+    let withdrawn = format!("{}\n", list(90, true, &[]));
+    old.say(&withdrawn);
+    next.say(&withdrawn);
+    until("the drain is kept", || (0..20).all(|_| client.ask("fetch").body == b"old"));
+    go.store(1, Ordering::SeqCst);
+    assert_eq!(held.read().expect("a whole answer").body, b"late");
+}
+
 #[test]
 fn it_is_up_only_with_a_list() {
     let upstream = Upstream::new(|_| Deed::ok("served"));
