Turn bad clients away strictly, cheaply and in time

Checked: `outcome_of` took a 400 or 404 for an error, so each was tried up to four times and counted against up to four servers; `check` let through a framing of two kinds (hyper drops a length that follows Transfer-Encoding), ids of open requests, GET with a body, either method for any class.

Now: any Transfer-Encoding is answered 411, method, key and body follow from the class, figures are digits, an id that an open request has is answered 409, each 4xx closes its connection. A request comes whole within 2.5 s of its connection (was 75 s and 5 s), an idle connection goes after 2.2 s. `serve` accepts first and, when full, closes the connection that has longest had no request open. A client fault found by an upstream ends the request with that status, is not retried and does not count against it.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,8 +1,9 @@
 //! The client side: the listener, the requests of the application, and their answers.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -16,8 +17,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sagemast::api::*;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::task::{Id, JoinSet};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::driver::Happening;
 use super::log;
@@ -27,14 +29,21 @@
 const BACKLOG: u32 = 4096;
 /// Room for a head; hyper also reads bodies through it.
 const BUFFER_BYTES: usize = 32 << 10;
-/// A connection on which no whole head comes for this long is closed.
-const IDLE: Duration = Duration::from_secs(75);
-/// The same while connections are scarce: silent ones must not keep others out.
-const IDLE_CROWDED: Duration = Duration::from_secs(2);
+/// A connection on which no whole head comes for this long is closed. Clients hold on to theirs for good, and
+/// one that has said nothing is owed an end within 3 s; one that has been used may be closed after 2 s.
+const IDLE: Duration = Duration::from_millis(2_200);
 /// The same once the sidecar ends and only sweeps up.
 const IDLE_AT_END: Duration = Duration::from_millis(150);
-/// A body must come in this time.
-const BODY_TIME: Duration = Duration::from_secs(5);
+/// A request must have come whole, head and body, this long after its connection did, or after its head on a
+/// connection that has carried others.
+const WHOLE: Duration = Duration::from_millis(2_500);
+/// A connection is not closed for a newcomer before it has had no request open for this long: its last answer
+/// is on its way to the client, or its first request to the sidecar.
+const SETTLED: Duration = Duration::from_millis(100);
+/// So many connections more may be closing to make room for others.
+const CLOSING: usize = 8;
+/// Ids of requests are no longer than this; they are kept while the request is open.
+const ID_BYTES: usize = 256;
 /// The wait after a failed accept: out of descriptors, a busy loop would starve those who could free some.
 const ACCEPT_BACK_OFF: Duration = Duration::from_millis(20);
 /// A longer time-out is absurd.
@@ -71,8 +80,6 @@
     pub happenings: mpsc::UnboundedSender<Happening>,
     /// Ids for the module: those of clients come from outside and might come twice.
     next_id: AtomicU64,
-    /// Open client connections.
-    pub connections: AtomicUsize,
 }
 
 /// A request as it goes on to upstreams.
@@ -95,6 +102,8 @@
     pub class: ClassId,
     /// Its tenant.
     pub tenant: TenantId,
+    /// The id that its client gave it.
+    pub id: Box<str>,
     /// When its last byte was read.
     pub at: Instant,
     /// How long its client waits from then on.
@@ -114,6 +123,8 @@
     Refused(Millis),
     /// No promise.
     Failed,
+    /// The client is at fault: it is told with this status.
+    Rejected(StatusCode),
 }
 
 impl Front {
@@ -130,7 +141,6 @@
             happenings,
             // The module keeps timer 0 for itself and halves request ids into timers.
             next_id: AtomicU64::new(2),
-            connections: AtomicUsize::new(0),
         }
     }
 }
@@ -143,58 +153,102 @@
     Ok(socket.listen(BACKLOG)?)
 }
 
-/// Accepts clients until the end: when it is closing, none is open and none waits to be accepted.
+/// What `serve` knows of a connection.
+struct Slot {
+    /// Since when it has had no request open, in milliseconds from its epoch; [`BUSY`] while it has one.
+    free_since: AtomicU64,
+    /// Told to make room.
+    make_room: Notify,
+}
+
+/// The mark of a connection with an open request.
+const BUSY: u64 = u64::MAX;
+
+/// The open connections, and what is needed to choose one to close.
+struct Slots {
+    epoch: Instant,
+    by_task: HashMap<Id, Arc<Slot>>,
+}
+
+impl Slots {
+    fn millis(&self) -> u64 {
+        self.epoch.elapsed().as_millis() as u64
+    }
+
+    /// Has the connection closed that has longest had no request open. Which of its peers are honest a sidecar
+    /// cannot know; one that waits for an answer is never closed for another.
+    fn make_room(&mut self) -> bool {
+        let settled = self.millis().saturating_sub(SETTLED.as_millis() as u64);
+        let free = self.by_task.iter().map(|(id, slot)| (slot.free_since.load(Ordering::Relaxed), *id));
+        let longest = free.filter(|(since, _)| *since <= settled).min_by_key(|(since, _)| *since);
+        let Some(slot) = longest.and_then(|(_, id)| self.by_task.remove(&id)) else { return false };
+        slot.make_room.notify_one();
+        true
+    }
+}
+
+/// Accepts clients until the end: when it is closing, none is open and none waits to be accepted. A client that
+/// comes when there are as many connections as may be takes the place of one that has no request open.
 pub async fn serve(listener: TcpListener, front: Arc<Front>, max_connections: usize) {
-    let permits = Arc::new(Semaphore::new(max_connections));
     let mut phase = front.phase.clone();
+    let mut slots = Slots { epoch: Instant::now(), by_task: HashMap::new() };
+    let mut connections = JoinSet::new();
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else { return };
-        let accepted = tokio::select! {
+        let closing = *phase.borrow_and_update() == Phase::Closing;
+        let room = connections.len() < max_connections + CLOSING;
+        tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
-            () = all_done(&mut phase, &front) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                front.connections.fetch_add(1, Ordering::Relaxed);
-                let crowded = permits.available_permits() * 4 < max_connections;
-                let front = front.clone();
-                tokio::spawn(async move {
-                    connection(stream, &front, crowded).await;
-                    front.connections.fetch_sub(1, Ordering::Relaxed);
-                    drop(permit);
-                });
-            }
-            Err(error) => {
-                log::line(format!("cannot accept: {error}"));
-                sleep(ACCEPT_BACK_OFF).await;
-            }
+            Some(ended) = connections.join_next_with_id() => forget(&mut slots, ended),
+            accepted = listener.accept(), if room => match accepted {
+                Ok((stream, _)) => {
+                    let free_since = AtomicU64::new(slots.millis());
+                    let slot = Arc::new(Slot { free_since, make_room: Notify::new() });
+                    let (front, kept, epoch) = (front.clone(), slot.clone(), slots.epoch);
+                    let task = connections.spawn(async move { connection(stream, &front, &slot, epoch).await });
+                    slots.by_task.insert(task.id(), kept);
+                    if connections.len() > max_connections {
+                        slots.make_room();
+                    }
+                }
+                Err(error) => {
+                    log::line(format!("cannot accept: {error}"));
+                    slots.make_room();
+                    sleep(ACCEPT_BACK_OFF).await;
+                }
+            },
+            // All are busy, or closing already.
+            () = sleep(ACCEPT_BACK_OFF), if !room => drop(slots.make_room()),
+            () = std::future::ready(()), if closing && connections.is_empty() => return,
+            changed = phase.changed(), if !closing => if changed.is_err() { return },
         }
     }
 }
 
-/// Comes back once the end is near and no connection is open.
-async fn all_done(phase: &mut watch::Receiver<Phase>, front: &Front) {
-    if phase.wait_for(|phase| *phase == Phase::Closing).await.is_err() {
-        return;
-    }
-    while front.connections.load(Ordering::Relaxed) > 0 {
-        sleep(Duration::from_millis(5)).await;
-    }
+/// Strikes off a connection that has ended. One that has panicked must not take the others with it.
+fn forget(slots: &mut Slots, ended: Result<(Id, ()), tokio::task::JoinError>) {
+    let id = match ended {
+        Ok((id, ())) => id,
+        Err(error) => error.id(),
+    };
+    slots.by_task.remove(&id);
 }
 
-/// Serves one client connection. Where connections are scarce, one answer is all that it carries.
-async fn connection(stream: TcpStream, front: &Arc<Front>, crowded: bool) {
+/// Serves one client connection.
+async fn connection(stream: TcpStream, front: &Arc<Front>, slot: &Slot, epoch: Instant) {
     let _ = stream.set_nodelay(true);
     let mut phase = front.phase.clone();
     let now = *phase.borrow_and_update();
     let heard = AtomicBool::new(false);
+    let whole_by = Instant::now() + WHOLE;
     let service = service_fn(|request| {
-        heard.store(true, Ordering::Relaxed);
+        let first = !heard.swap(true, Ordering::Relaxed);
         let front = front.clone();
         async move {
-            let mut response = handle(request, &front).await;
-            if crowded || *front.phase.borrow() > Phase::Open {
+            let by = if first { whole_by } else { Instant::now() + WHOLE };
+            let mut response = handle(request, &front, slot, by).await;
+            slot.free_since.store(epoch.elapsed().as_millis() as u64, Ordering::Relaxed);
+            // What is left of a request that was turned away must not be read as another.
+            if response.status().is_client_error() || *front.phase.borrow() > Phase::Open {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
@@ -202,11 +256,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(match now {
-            Phase::Closing => IDLE_AT_END,
-            _ if crowded => IDLE_CROWDED,
-            _ => IDLE,
-        })
+        .header_read_timeout(if now == Phase::Closing { IDLE_AT_END } else { IDLE })
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
@@ -229,6 +279,13 @@
                     return;
                 }
             }
+            () = slot.make_room.notified() => {
+                // A request may have come in this very moment: it is answered first.
+                if slot.free_since.load(Ordering::Relaxed) != BUSY {
+                    return;
+                }
+                connection.as_mut().graceful_shutdown();
+            }
         }
     }
 }
@@ -251,7 +308,12 @@
 /// What is wrong with a request.
 type Malformed = (StatusCode, &'static str);
 
-async fn handle(request: Request<Incoming>, front: &Front) -> Response<Full<Bytes>> {
+async fn handle(
+    request: Request<Incoming>,
+    front: &Front,
+    slot: &Slot,
+    whole_by: Instant,
+) -> Response<Full<Bytes>> {
     if request.uri().path() == "/up" {
         let up = front.ready.load(Ordering::Relaxed);
         return match (request.method() == Method::GET, up) {
@@ -260,12 +322,12 @@
             (true, false) => plain(StatusCode::SERVICE_UNAVAILABLE, "no list of upstreams yet"),
         };
     }
-    let (class, tenant, time_left) = match check(&request, &front.names) {
+    let Checked { class, tenant, time_left, id } = match check(&request, &front.names) {
         Ok(checked) => checked,
         Err((status, reason)) => return plain(status, reason),
     };
     let (head, body) = request.into_parts();
-    let body = match timeout(BODY_TIME, Limited::new(body, BODY_BYTES).collect()).await {
+    let body = match timeout_at(whole_by, Limited::new(body, BODY_BYTES).collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
@@ -274,12 +336,13 @@
         Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come"),
     };
     let at = Instant::now();
+    slot.free_since.store(BUSY, Ordering::Relaxed);
     // A client may name the whole URL; upstreams are asked for the path in any case.
     let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
     let request = RequestId(front.next_id.fetch_add(1, Ordering::Relaxed));
     let (reply, answer) = oneshot::channel();
     let forward = Forward { method: head.method, target, headers: end_to_end(&head.headers), body };
-    let arrival = Arrival { request, class, tenant, at, time_left, forward, reply };
+    let arrival = Arrival { request, class, tenant, id, at, time_left, forward, reply };
     let mut guard = Guard { request, front, answered: false };
     let _ = front.happenings.send(Happening::Arrived(Box::new(arrival)));
     let answer = answer.await;
@@ -298,36 +361,67 @@
             }
             response
         }
+        Ok(Final::Rejected(status)) => plain(status, "the request cannot be served"),
         Ok(Final::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
     }
 }
 
-/// Reads the head of a request.
-fn check(request: &Request<Incoming>, names: &Names) -> Result<(ClassId, TenantId, Duration), Malformed> {
+/// What the head of a sound request says.
+struct Checked {
+    class: ClassId,
+    tenant: TenantId,
+    time_left: Duration,
+    id: Box<str>,
+}
+
+/// Reads the head of a request. What upstreams could not use, or might read otherwise, never goes on to them.
+fn check(request: &Request<Incoming>, names: &Names) -> Result<Checked, Malformed> {
     let bad = |reason| (StatusCode::BAD_REQUEST, reason);
     let first = request.uri().path().trim_start_matches('/').split('/').next().unwrap_or_default();
     let Some(class) = names.classes.iter().position(|(name, _)| name == first) else {
         return Err((StatusCode::NOT_FOUND, "no such path"));
     };
+    let target = request.uri().path_and_query().map_or("", |target| target.as_str());
+    if !target.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(bad("the path is not plain text"));
+    }
     let headers = request.headers();
+    // Clients send a length. Where a second framing stands beside it two readers may differ on where the body
+    // ends, and hyper drops a length that follows the other: so either alone is turned away.
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        return Err((StatusCode::LENGTH_REQUIRED, "Content-Length is missing"));
+    }
+    let length = match single(headers, "content-length")? {
+        Some(text) => number(text).ok_or(bad("Content-Length is not a number"))?,
+        None => 0,
+    };
+    if length > BODY_BYTES as u64 {
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"));
+    }
     match single(headers, "x-priority-class")? {
         None => return Err(bad("X-Priority-Class is missing")),
         Some(name) if name != first => return Err(bad("X-Priority-Class does not fit the path")),
         Some(_) => {}
     }
-    let keyed = single(headers, "idempotency-key")?.is_some_and(|key| !key.is_empty());
+    let key = single(headers, "idempotency-key")?;
     match (request.method(), names.classes[class].1) {
-        (&Method::GET | &Method::POST, Effect::Repeatable | Effect::Once) => {}
+        (&Method::GET, Effect::Repeatable) if length > 0 => return Err(bad("GET has no body")),
+        (&Method::GET, Effect::Repeatable) => {}
         // Without its key upstreams could not drop a repeat.
-        (&Method::GET | &Method::POST, Effect::ByKey { .. }) if keyed => {}
-        (&Method::GET | &Method::POST, _) => return Err(bad("Idempotency-Key is missing")),
-        _ => return Err((StatusCode::METHOD_NOT_ALLOWED, "use GET or POST")),
-    }
-    if single(headers, "x-request-id")?.is_none_or(str::is_empty) {
-        return Err(bad("X-Request-ID is missing"));
+        (&Method::POST, Effect::ByKey { .. }) if key.is_none_or(str::is_empty) => {
+            return Err(bad("Idempotency-Key is missing"));
+        }
+        // A key promises that a repeat is dropped; for this class it is not.
+        (&Method::POST, Effect::Once) if key.is_some() => {
+            return Err(bad("the class takes no Idempotency-Key"));
+        }
+        (&Method::POST, Effect::ByKey { .. } | Effect::Once) => {}
+        _ => return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class")),
     }
+    let id = single(headers, "x-request-id")?.filter(|id| !id.is_empty() && id.len() <= ID_BYTES);
+    let id = id.ok_or(bad("X-Request-ID is missing or too long"))?.into();
     let time_left = single(headers, "x-timeout-ms")?.ok_or(bad("X-Timeout-Ms is missing"))?;
-    let time_left = time_left.parse().ok().filter(|ms| (1..=MAX_TIMEOUT_MS).contains(ms));
+    let time_left = number(time_left).filter(|ms| (1..=MAX_TIMEOUT_MS).contains(ms));
     let time_left =
         Duration::from_millis(time_left.ok_or(bad("X-Timeout-Ms is not a number of milliseconds"))?);
     let tenant = match single(headers, "x-tenant-id")? {
@@ -335,11 +429,12 @@
         None => return Err(bad("X-Tenant-Id is missing")),
         Some(name) => names.tenants.iter().position(|n| n == name).ok_or(bad("unknown tenant"))?,
     };
-    let length = headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
-    if length.is_some_and(|bytes| bytes > BODY_BYTES as u64) {
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"));
-    }
-    Ok((ClassId(class), TenantId(tenant), time_left))
+    Ok(Checked { class: ClassId(class), tenant: TenantId(tenant), time_left, id })
+}
+
+/// A whole number in decimal digits and nothing else; `parse` alone would take a sign.
+fn number(text: &str) -> Option<u64> {
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok()).flatten()
 }
 
 /// The value of a header that must not come twice.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,6 +1,6 @@
 //! The driver: owns the module, turns what happens into its events and carries out its actions in order.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Uri};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use sagemast::Balancer;
 use sagemast::api::*;
 use sagemast::settings::{Column, Config as SettingsObject, report_from_text};
@@ -112,6 +112,7 @@
 
 /// A request without its final answer.
 struct Open {
+    id: Box<str>,
     forward: Arc<Forward>,
     reply: oneshot::Sender<Final>,
     sends: u32,
@@ -153,6 +154,8 @@
     /// Unix time at the epoch, in milliseconds.
     epoch_unix_ms: f64,
     open: HashMap<RequestId, Open>,
+    /// The ids that clients gave the open requests.
+    ids: HashSet<Box<str>>,
     sent: BTreeMap<(RequestId, AttemptNo), Sent>,
     names: HashMap<String, UpstreamId>,
     servers: BTreeMap<UpstreamId, Server>,
@@ -192,6 +195,7 @@
             epoch: Instant::now(),
             epoch_unix_ms: unix.map_or(0.0, |since| since.as_secs_f64() * 1e3),
             open: HashMap::new(),
+            ids: HashSet::new(),
             sent: BTreeMap::new(),
             names: HashMap::new(),
             servers: BTreeMap::new(),
@@ -290,9 +294,7 @@
         match happening {
             Happening::Arrived(arrival) => self.arrived(*arrival),
             Happening::ClientLeft(request) => {
-                if let Some(open) = self.open.remove(&request) {
-                    self.timers.remove(&open.timer);
-                }
+                self.close(request);
                 self.leave(request);
             }
             Happening::Connected(flight, connection) => self.connected(flight, connection),
@@ -320,10 +322,16 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { request, class, tenant, at, time_left, forward, reply } = arrival;
+        let Arrival { request, class, tenant, id, at, time_left, forward, reply } = arrival;
+        // Upstreams know a request by its id. One that says it is another's would be taken for that one's
+        // next attempt.
+        if !self.ids.insert(id.clone()) {
+            let _ = reply.send(Final::Rejected(StatusCode::CONFLICT));
+            return;
+        }
         let deadline = at + time_left.saturating_sub(IN_HAND);
         let timer = self.set_timer(at + time_left.saturating_sub(BACKSTOP), Timer::Backstop(request));
-        let open = Open { forward: Arc::new(forward), reply, sends: 0, deadline, timer };
+        let open = Open { id, forward: Arc::new(forward), reply, sends: 0, deadline, timer };
         self.open.insert(request, open);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         self.event(Event::Arrived { request, class, tenant, time_left });
@@ -342,10 +350,17 @@
         }
     }
 
+    /// Takes a request off the books.
+    fn close(&mut self, request: RequestId) -> Option<Open> {
+        let open = self.open.remove(&request)?;
+        self.timers.remove(&open.timer);
+        self.ids.remove(&open.id);
+        Some(open)
+    }
+
     /// Answers a request, if it is still owed one.
     fn finish(&mut self, request: RequestId, answer: Final) -> bool {
-        let Some(open) = self.open.remove(&request) else { return false };
-        self.timers.remove(&open.timer);
+        let Some(open) = self.close(request) else { return false };
         // The client may have gone in this very moment.
         open.reply.send(answer).is_ok()
     }
@@ -501,11 +516,19 @@
             let text = answer.headers.get("x-server-load").filter(|_| self.settings.reports_in_answers())?;
             report_from_text(&self.columns, text.to_str().ok()?)
         });
-        // The first answer goes to the client by itself and ends the request.
+        // The first answer goes to the client by itself and ends the request; so does one that finds fault
+        // with the request itself, which other upstreams would find as well.
         let mut closed = !self.open.contains_key(&flight.request);
-        if let (Outcome::Ok, Some(answer)) = (outcome, answer) {
-            self.finish(flight.request, Final::Served(client_headers(&answer.headers), answer.body));
-            closed = true;
+        match (outcome, answer) {
+            (Outcome::Ok, Some(answer)) => {
+                self.finish(flight.request, Final::Served(client_headers(&answer.headers), answer.body));
+                closed = true;
+            }
+            (Outcome::Cancelled, Some(answer)) => {
+                self.finish(flight.request, Final::Rejected(answer.status));
+                closed = true;
+            }
+            _ => {}
         }
         self.event(Event::Finished(Finished {
             request: flight.request,
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -144,6 +144,11 @@
         StatusCode::OK => Outcome::Ok,
         // Without the mark nothing says that it never ran.
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::Full,
+        // About this sidecar's pace or the upstream's patience, not about the request.
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT => Outcome::Error,
+        // The client's fault: it must not count against the upstream, and another would say the same. What ends
+        // so tells the module nothing.
+        status if status.is_client_error() => Outcome::Cancelled,
         _ => Outcome::Error,
     }
 }
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -1,7 +1,7 @@
 //! A small stage of real sockets: upstreams, discovery and clients that do as a test tells them.
 #![allow(dead_code)]
 
-use std::io::{BufRead, BufReader, ErrorKind, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -411,6 +411,16 @@
         read_message(&mut self.reader)
     }
 
+    /// Reads on until the other side closes; what came before that. `None` if it does not close.
+    pub fn read_to_close(&mut self) -> Option<Vec<u8>> {
+        let mut rest = Vec::new();
+        match self.reader.read_to_end(&mut rest) {
+            Ok(_) => Some(rest),
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => Some(rest),
+            Err(_) => None,
+        }
+    }
+
     pub fn get(&mut self, path: &str) -> Option<Message> {
         self.write(format!("GET {path} HTTP/1.1\r\nHost: api.internal\r\n\r\n").as_bytes());
         self.read()
