Tell spoilt answers from their heads, and never write behind unread bytes

Now these are failed attempts that may have run, told from the head and closed at once; an answer that has begun and brings no byte for twice 15 ms is cut, 1xx ahead do not count as its beginning. Before the first byte of a request the socket itself is asked (peek) for unread bytes or a close: hyper and the runtime hear of them only when they next turn to the kernel. Bytes that come when nothing was asked end the connection.

The test of spoilt answers failed before (the bill waited for its own time); the two on the stream cover the rest.

--- a/src/net/counted.rs
+++ b/src/net/counted.rs
@@ -1,41 +1,119 @@
-//! A stream that counts the bytes written to it, which tells whether a request can have reached its upstream.
+//! A stream to an upstream that knows what has crossed it: how many bytes were written, which tells whether a
+//! request can have arrived, and whether an answer has begun, which tells what belongs to which request.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
-/// Bytes that the kernel has taken so far. hyper owns the stream, so the count is shared with it.
-#[derive(Clone, Default)]
-pub struct Written(Arc<AtomicU64>);
+/// What has crossed a connection. hyper owns the stream, so this is shared with it.
+#[derive(Default)]
+pub struct Meter {
+    written: AtomicU64,
+    read: AtomicU64,
+    /// Whether a request has begun to be written that has no whole answer yet.
+    asked: AtomicBool,
+    /// Whether bytes of its answer have come, and who waits for that.
+    answering: AtomicBool,
+    began: Notify,
+}
+
+impl Meter {
+    /// Bytes that the kernel has taken so far.
+    pub fn written(&self) -> u64 {
+        self.written.load(Ordering::Relaxed)
+    }
+
+    /// Bytes that were read so far.
+    pub fn read(&self) -> u64 {
+        self.read.load(Ordering::Relaxed)
+    }
 
-impl Written {
-    /// The count so far.
-    pub fn get(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+    /// Comes back once the first byte of an answer has been read.
+    pub async fn answer_began(&self) {
+        while !self.answering.load(Ordering::Relaxed) {
+            self.began.notified().await;
+        }
+    }
+
+    /// The head of the answer itself has come.
+    pub fn answer_has_begun(&self) {
+        if !self.answering.swap(true, Ordering::Relaxed) {
+            self.began.notify_one();
+        }
+    }
+
+    /// Whether an answer has begun that is not whole.
+    pub fn is_answering(&self) -> bool {
+        self.answering.load(Ordering::Relaxed)
+    }
+
+    /// What came was no more than a notice that the answer is still to come.
+    pub fn answer_is_to_come(&self) {
+        self.answering.store(false, Ordering::Relaxed);
+    }
+
+    /// The answer is whole: what comes before the next request is written belongs to none.
+    pub fn answered(&self) {
+        self.asked.store(false, Ordering::Relaxed);
+        self.answering.store(false, Ordering::Relaxed);
+    }
+
+    fn count_read(&self, bytes: usize) -> io::Result<()> {
+        if bytes == 0 {
+            return Ok(());
+        }
+        if !self.asked.load(Ordering::Relaxed) {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "bytes that no request asked for"));
+        }
+        self.read.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.answer_has_begun();
+        Ok(())
     }
 }
 
-/// A TCP stream whose writes are counted.
+/// A TCP stream with a meter.
 pub struct Counted {
     stream: TcpStream,
-    written: Written,
+    meter: Arc<Meter>,
 }
 
 impl Counted {
-    /// Wraps a stream; the count starts at 0.
-    pub fn new(stream: TcpStream) -> (Counted, Written) {
-        let written = Written::default();
-        (Counted { stream, written: written.clone() }, written)
+    /// Wraps a stream; the counts start at 0.
+    pub fn new(stream: TcpStream) -> (Counted, Arc<Meter>) {
+        let meter = Arc::new(Meter::default());
+        (Counted { stream, meter: meter.clone() }, meter)
+    }
+
+    /// Before the first byte of a request goes out: bytes that wait in the socket now would be read as its
+    /// answer, and one that the upstream has closed would swallow it. The socket itself is asked, since the
+    /// runtime hears of what came only when it next turns to the kernel.
+    fn begin(&self) -> io::Result<()> {
+        if self.meter.asked.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit(); 1]) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                self.meter.asked.store(true, Ordering::Relaxed);
+                Ok(())
+            }
+            Err(error) => Err(error),
+            Ok(_) => {
+                Err(io::Error::new(io::ErrorKind::NotConnected, "the idle connection is of no more use"))
+            }
+        }
     }
 
     fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = result {
-            self.written.0.fetch_add(bytes as u64, Ordering::Relaxed);
+            self.meter.written.fetch_add(bytes as u64, Ordering::Relaxed);
         }
         result
     }
@@ -47,12 +125,15 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        Poll::Ready(self.meter.count_read(buf.filled().len() - before))
     }
 }
 
 impl AsyncWrite for Counted {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.begin()?;
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(result)
     }
@@ -62,6 +143,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.begin()?;
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.count(result)
     }
@@ -78,3 +160,42 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::Write;
+
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    use super::*;
+
+    async fn pair() -> (Counted, Arc<Meter>, std::net::TcpStream) {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let (counted, meter) = Counted::new(stream);
+        (counted, meter, listener.accept().unwrap().0)
+    }
+
+    #[tokio::test]
+    async fn nothing_is_written_behind_bytes_that_no_one_asked_for() {
+        let (mut counted, meter, mut upstream) = pair().await;
+        counted.write_all(b"first").await.unwrap();
+        upstream.write_all(b"answer").unwrap();
+        counted.read_exact(&mut [0; 6]).await.unwrap();
+        meter.answered();
+        // The runtime has not turned to the kernel since: only the socket itself can tell.
+        upstream.write_all(b"more").unwrap();
+        let written = meter.written();
+        assert!(counted.write_all(b"second").await.is_err());
+        assert_eq!(meter.written(), written);
+        assert!(counted.read(&mut [0; 4]).await.is_err(), "nor is it read as an answer");
+    }
+
+    #[tokio::test]
+    async fn nothing_is_written_to_a_connection_that_the_other_side_has_closed() {
+        let (mut counted, meter, upstream) = pair().await;
+        drop(upstream);
+        assert!(counted.write_all(b"first").await.is_err());
+        assert_eq!(meter.written(), 0);
+    }
+}
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -7,15 +7,15 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use sagemast::api::*;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-use super::counted::{Counted, Written};
+use super::counted::{Counted, Meter};
 use super::driver::{Flight, Happening};
 use super::log;
 
@@ -23,6 +23,9 @@
 pub const BODY_BYTES: usize = 64 << 10;
 /// Room for a head; hyper also reads bodies through it.
 const BUFFER_BYTES: usize = 32 << 10;
+/// Once an answer has begun, its bytes follow each other: it is small and made before it is sent. When none has
+/// come in two such spans in a row, what is missing is not on its way.
+const STALL: Duration = Duration::from_millis(15);
 /// How long a connection may take to become ready for the next request once an answer was read.
 const SETTLE: Duration = Duration::from_millis(100);
 
@@ -30,7 +33,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
-    written: Written,
+    meter: Arc<Meter>,
     /// Whether it has carried a request before.
     pub used: bool,
     /// Since when it has carried nothing.
@@ -51,7 +54,7 @@
             .map_err(|error| format!("cannot connect: {error}"))?;
         // Without it the kernel may hold back a small request.
         stream.set_nodelay(true).map_err(|error| error.to_string())?;
-        let (counted, written) = Counted::new(stream);
+        let (counted, meter) = Counted::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(counted))
@@ -61,7 +64,7 @@
             // How an exchange failed shows at the exchange.
             let _ = connection.await;
         });
-        Ok(Connection { sender, task, written, used: false, idle_since: Instant::now(), _permit: permit })
+        Ok(Connection { sender, task, meter, used: false, idle_since: Instant::now(), _permit: permit })
     }
 
     /// Whether it can take a request now, as far as this side knows.
@@ -107,8 +110,8 @@
     Unsent,
     /// It may have run.
     Cut,
-    /// An answer came that is too long to take.
-    TooLong,
+    /// An answer came that cannot be taken for one; the request may have run.
+    Unfit(&'static str),
 }
 
 /// The bytes that a request takes on the wire at least. Fewer written mean that its last byte was not.
@@ -120,23 +123,66 @@
     (line + headers + 2 + body) as u64
 }
 
+/// Tells from its head that an answer cannot be read whole, or that two readers would differ on where it ends.
+fn unfit(head: &hyper::http::response::Parts) -> Option<&'static str> {
+    let headers = &head.headers;
+    let length = headers.get(header::CONTENT_LENGTH);
+    match (head.status, length, headers.contains_key(header::TRANSFER_ENCODING)) {
+        (StatusCode::SWITCHING_PROTOCOLS, ..) => Some("an answer that leaves HTTP"),
+        (_, Some(_), true) => Some("an answer with two framings"),
+        // It ends with the connection: nothing tells a whole one from one that broke off.
+        (StatusCode::OK, None, false) => Some("an answer of no stated length"),
+        (_, Some(length), false) if length.to_str().ok().and_then(|l| l.parse().ok()) > Some(BODY_BYTES) => {
+            Some("an answer that is too long")
+        }
+        _ => None,
+    }
+}
+
 /// Sends a request once and reads its answer whole.
 async fn exchange(
     sender: &mut SendRequest<Full<Bytes>>,
-    request: Request<Full<Bytes>>,
-    written: &Written,
+    mut request: Request<Full<Bytes>>,
+    meter: &Arc<Meter>,
     complete_at: u64,
 ) -> Result<Answer, Broken> {
-    let broken = || if written.get() < complete_at { Broken::Unsent } else { Broken::Cut };
+    let broken = || if meter.written() < complete_at { Broken::Unsent } else { Broken::Cut };
+    let notices = meter.clone();
+    hyper::ext::on_informational(&mut request, move |_| notices.answer_is_to_come());
     let response = sender.send_request(request).await.map_err(|_| broken())?;
+    meter.answer_has_begun();
     let (head, body): (_, hyper::body::Incoming) = Response::into_parts(response);
+    if let Some(reason) = unfit(&head) {
+        return Err(Broken::Unfit(reason));
+    }
     match Limited::new(body, BODY_BYTES).collect().await {
-        Ok(body) => Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() }),
-        Err(error) if error.is::<LengthLimitError>() => Err(Broken::TooLong),
+        Ok(body) => {
+            meter.answered();
+            Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
+        }
+        Err(error) if error.is::<LengthLimitError>() => Err(Broken::Unfit("an answer that is too long")),
         Err(_) => Err(broken()),
     }
 }
 
+/// Comes back when an answer that has begun comes no further.
+async fn stalled(meter: &Meter) {
+    loop {
+        meter.answer_began().await;
+        let mut still = 0;
+        let mut read = meter.read();
+        while still < 2 {
+            sleep(STALL).await;
+            let now = meter.read();
+            (still, read) = if now == read { (still + 1, read) } else { (0, now) };
+        }
+        // A notice ahead of the answer may have ended meanwhile.
+        if meter.is_answering() {
+            return;
+        }
+    }
+}
+
 /// What an answer means for the attempt.
 fn outcome_of(answer: &Answer) -> Outcome {
     let not_run = answer.headers.get("x-not-processed").is_some_and(|value| value == "1");
@@ -170,23 +216,27 @@
     give_up: oneshot::Receiver<()>,
     happenings: mpsc::UnboundedSender<Happening>,
 ) {
-    let before = connection.written.get();
+    let meter = connection.meter.clone();
+    let before = meter.written();
     let complete_at = before + least_size(&request, body_len);
-    let written = connection.written.clone();
     let (end, keep) = {
-        let exchange = exchange(&mut connection.sender, request, &written, complete_at);
+        let exchange = exchange(&mut connection.sender, request, &meter, complete_at);
         tokio::select! {
             biased;
             result = exchange => match result {
                 Ok(answer) => (End::Outcome(outcome_of(&answer), Some(answer)), true),
-                Err(Broken::Unsent) if connection.used && written.get() == before => (End::Stale, false),
+                Err(Broken::Unsent) if connection.used && meter.written() == before => (End::Stale, false),
                 Err(Broken::Unsent) => (End::Outcome(Outcome::Unreachable, None), false),
                 Err(Broken::Cut) => (End::Outcome(Outcome::Reset, None), false),
-                Err(Broken::TooLong) => {
-                    log::line(format!("upstream {}: an answer is longer than {BODY_BYTES} bytes", flight.upstream.0));
+                Err(Broken::Unfit(reason)) => {
+                    log::line(format!("upstream {}: {reason}", flight.upstream.0));
                     (End::Outcome(Outcome::Error, None), false)
                 }
             },
+            () = stalled(&meter) => {
+                log::line(format!("upstream {}: an answer that does not end", flight.upstream.0));
+                (End::Outcome(Outcome::Error, None), false)
+            }
             _ = give_up => (End::Outcome(Outcome::Cancelled, None), false),
             () = sleep_until(flight.until) => (End::Outcome(Outcome::TimedOut, None), false),
         }
@@ -200,7 +250,7 @@
     connection.close().await;
     let end = match end {
         // The last byte was never written and now never will be.
-        End::Outcome(Outcome::TimedOut, None) if written.get() < complete_at => {
+        End::Outcome(Outcome::TimedOut, None) if meter.written() < complete_at => {
             End::Outcome(Outcome::Unreachable, None)
         }
         end => end,
@@ -223,8 +273,8 @@
     };
     let mut answer = None;
     if let Ok(mut connection) = opened {
-        let written = connection.written.clone();
-        let result = timeout_at(until, exchange(&mut connection.sender, request, &written, 0)).await;
+        let meter = connection.meter.clone();
+        let result = timeout_at(until, exchange(&mut connection.sender, request, &meter, 0)).await;
         if let Ok(Ok(got)) = result {
             answer = Some(got);
             let _ = happenings.send(Happening::Probed { upstream, answer });
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -66,6 +66,10 @@
 pub enum Deed {
     /// Answers: status, further header lines, body.
     Answer(u16, &'static str, Vec<u8>),
+    /// Writes this and says no more, with the connection left open.
+    Raw(&'static [u8]),
+    /// Writes this and closes.
+    RawAndClose(&'static [u8]),
     /// Says nothing until the other side closes.
     Silence,
     /// The same, and tells the test of the close.
@@ -151,6 +155,12 @@
         log.requests.lock().unwrap().push(message);
         match what {
             Deed::Answer(status, more, body) => drop(writer.write_all(&answer(status, more, &body))),
+            Deed::Raw(bytes) => drop(writer.write_all(bytes)),
+            Deed::RawAndClose(bytes) => {
+                let _ = writer.write_all(bytes);
+                let _ = reader.get_ref().shutdown(Shutdown::Both);
+                break;
+            }
             Deed::Silence => {}
             Deed::SilenceUntil(closed) => {
                 let _ = read_message(&mut reader);
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -96,6 +96,51 @@
     assert_eq!(Client::to(sidecar.address).ask("bill").body.len(), 64 << 10);
 }
 
+#[test]
+fn a_spoilt_answer_is_a_failed_attempt_at_once() {
+    for deed in [
+        Deed::Raw(b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nxxxx"),
+        Deed::Raw(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nxxxx"),
+        Deed::Raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nxxxx"),
+        Deed::Raw(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nxxxx"),
+        Deed::Raw(b"HTTP/1.1 200 OK\r\nContent-Le"),
+        Deed::Raw(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+        Deed::RawAndClose(b"HTTP/1.1 200 OK\r\n\r\nsome, or all?"),
+        Deed::Raw(b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
+        Deed::Raw(b"\x00\x16noise\r\n\r\n"),
+    ] {
+        let [a, b] = first_then_ok(deed);
+        let (sidecar, _discovery) = Sidecar::with(&[&a, &b]);
+        let mut client = Client::to(sidecar.address);
+        // Its time is longer than this test's: it is answered because the attempt has failed.
+        client.send("bill", 600_000);
+        assert_eq!(client.read().expect("an answer").status(), 502);
+        assert_eq!(total(&[&a, &b]), 1, "it has run");
+        let at = [&a, &b].into_iter().find(|upstream| !upstream.requests().is_empty()).unwrap();
+        let connection = at.requests()[0].connection;
+        until("its connection is closed", || at.closed(connection).is_some());
+        assert_eq!(client.ask("fetch").body, b"served");
+    }
+}
+
+#[test]
+fn what_comes_with_a_good_answer_does_not_spoil_it() {
+    for deed in [
+        Deed::Raw(b"HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 103 Hint\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"),
+        Deed::Raw(b"HTTP/1.1 200 OK\r\nX-Server-Load: \xff\xfe=1e300\r\nContent-Length: 4\r\n\r\ngood"),
+        Deed::Raw(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngoodHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"),
+        Deed::Raw(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood\x00\x16noise"),
+    ] {
+        let [a, b] = first_then_ok(deed);
+        let (sidecar, _discovery) = Sidecar::with(&[&a, &b]);
+        let mut client = Client::to(sidecar.address);
+        assert_eq!(client.ask("bill").body, b"good");
+        for _ in 0..10 {
+            assert_eq!(client.ask("fetch").body, b"served");
+        }
+    }
+}
+
 #[test]
 fn a_server_that_refuses_connections_has_run_nothing() {
     let dead = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
