Keep less time in hand, and give probes half the shortest aim

Ruled out: lateness of the process (arrivals waited 0.01 ms, at most 0.36).

Now 3 ms in hand; a probe has half the shortest aim.

The test of a request with 7 ms was never served before.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -21,12 +21,14 @@
 use super::log;
 use super::upstream::{Answer, Connection, End, Permits, Pool, Source, attempt, probe};
 
-/// The module is told this much less than the client waits: its last word must reach the client in time.
-const IN_HAND: Duration = Duration::from_millis(8);
+/// The module is told this much less than the client waits: its last word must reach the client in time. An
+/// answer takes a fraction of a millisecond to it; the rest is for a turn in which much else is to be done.
+const IN_HAND: Duration = Duration::from_millis(3);
 /// What the module has not ended by then, the driver does.
-const BACKSTOP: Duration = Duration::from_millis(4);
-/// A probe that has not come back by then says nothing: servers answer them beside their queue.
-const PROBE_TIME: Duration = Duration::from_millis(150);
+const BACKSTOP: Duration = Duration::from_micros(1_500);
+/// A probe that has not come back in this share of the shortest aim says nothing: servers answer them beside
+/// their queue, and by then the request that it was for has gone on.
+const PROBE_SHARE: f64 = 0.5;
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
 /// Idle connections are closed after this share of the time that upstreams keep them: one that is written to
@@ -163,6 +165,7 @@
     timers: BTreeMap<(Instant, u64), Timer>,
     next_timer: u64,
     permits: Permits,
+    probe_time: Duration,
     actions: Vec<Action>,
 }
 
@@ -203,6 +206,7 @@
             timers: BTreeMap::new(),
             next_timer: 0,
             permits: Arc::new(Semaphore::new(max_connections)),
+            probe_time: Duration::from_secs_f64(settings.shortest_aim_ms() * PROBE_SHARE / 1e3),
             actions: Vec::new(),
             settings,
         }
@@ -576,7 +580,7 @@
         if let Ok(host) = HeaderValue::from_str(&dial.to_string()) {
             request.headers_mut().insert(header::HOST, host);
         }
-        tokio::spawn(probe(source, request, upstream, life, now + PROBE_TIME, self.happenings.clone()));
+        tokio::spawn(probe(source, request, upstream, life, now + self.probe_time, self.happenings.clone()));
     }
 
     // --- The list ----------------------------------------------------------------------------
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -214,6 +214,11 @@
         self.classes.iter().map(|class| class.hard_limit).fold(0.0, f64::max)
     }
 
+    /// The shortest time in which any class is to be answered.
+    pub fn shortest_aim_ms(&self) -> Millis {
+        self.classes.iter().map(|class| class.aim).fold(f64::INFINITY, f64::min)
+    }
+
     /// After this long without use connections are closed.
     pub fn keepalive_ms(&self) -> Millis {
         self.allowed.keepalive
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -210,6 +210,18 @@
     }
 }
 
+#[test]
+fn a_request_with_little_time_is_tried_all_the_same() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    // Loopback takes well under a millisecond; now and then a busy machine takes longer than there is.
+    until("one is served", || {
+        let mut client = Client::to(sidecar.address);
+        client.send("fetch", 7);
+        client.read().expect("an answer").status() == 200
+    });
+}
+
 #[test]
 fn a_client_that_leaves_takes_its_attempt_with_it() {
     let silent = Upstream::new(|_| Deed::Silence);
