Forget upstreams that are gone, in a file of their own

Seen by reading: `names` and `servers` of the driver kept those that are gone until there were 4,096 names, `listed` compared each server with each entry, and `seen.kinds` of the module kept every kind ever named.

Now the list and its ids are `src/net/servers.rs`; one that is gone is forgotten once nothing is out on it (looked at with the idle connections, twice a second), a name that comes back gets a new id and starts with no connection. The module forgets kinds beyond 64 that no server is of.

Tests: the gone are forgotten once nothing is out, one that drains is kept.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -72,6 +72,8 @@
 const EJECT_FOR: [Millis; 2] = [1_000.0, 8_000.0];
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
+/// From so many kinds of machine on, those that no server is of are forgotten.
+const KINDS: usize = 64;
 /// Discovery is asked within this share of the time in which it must be; doubles with each failure.
 const ASK_OVER: f64 = 0.25;
 
@@ -576,6 +578,9 @@
             ListNews::Unavailable => out.push(Action::Log("server list unavailable".to_owned())),
         }
         self.upstreams.retain(|_, upstream| upstream.serving || !upstream.outstanding.is_empty());
+        if self.seen.kinds.len() > KINDS {
+            self.seen.kinds.retain(|kind, _| self.upstreams.values().any(|upstream| upstream.kind == *kind));
+        }
         let Discovery::Subscribed { must_ask_in } = self.settings.discovery else { return };
         self.seen.ask_wait =
             if failed { (2.0 * self.seen.ask_wait).min(must_ask_in) } else { ASK_OVER * must_ask_in };
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -17,9 +17,10 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::client::{Arrival, Final, Forward, Front, end_to_end};
-use super::discovery::{AbortOnDrop, Health, Host, HostList, Watch};
+use super::discovery::{AbortOnDrop, HostList, Watch};
 use super::log;
-use super::upstream::{Answer, Connection, End, Permits, Pool, Source, attempt, probe};
+use super::servers::Servers;
+use super::upstream::{Answer, Connection, End, Permits, Source, attempt, probe};
 
 /// The module is told this much less than the client waits: its last word must reach the client in time. An
 /// answer takes a fraction of a millisecond to it; the rest is for a turn in which much else is to be done.
@@ -34,9 +35,6 @@
 /// Idle connections are closed after this share of the time that upstreams keep them: one that is written to
 /// just as the upstream closes it ends as a reset.
 const IDLE_SHARE: f64 = 0.7;
-/// The names of upstreams that are gone are forgotten when there are more than this many names.
-const NAMES: usize = 4_096;
-
 /// One attempt on its way.
 #[derive(Debug, Clone, Copy)]
 pub struct Flight {
@@ -122,16 +120,6 @@
     timer: (Instant, u64),
 }
 
-/// An upstream that discovery named.
-struct Server {
-    host: String,
-    listing: Listing,
-    dial: SocketAddr,
-    born_ms: f64,
-    life: u64,
-    pool: Pool,
-}
-
 enum Timer {
     Wake(u64),
     Backstop(RequestId),
@@ -153,15 +141,11 @@
     /// The number of the present watch.
     watches: u64,
     epoch: Instant,
-    /// Unix time at the epoch, in milliseconds.
-    epoch_unix_ms: f64,
     open: HashMap<RequestId, Open>,
     /// The ids that clients gave the open requests.
     ids: HashSet<Box<str>>,
     sent: BTreeMap<(RequestId, AttemptNo), Sent>,
-    names: HashMap<String, UpstreamId>,
-    servers: BTreeMap<UpstreamId, Server>,
-    next_upstream: u64,
+    servers: Servers,
     timers: BTreeMap<(Instant, u64), Timer>,
     next_timer: u64,
     permits: Permits,
@@ -196,13 +180,10 @@
             watch: None,
             watches: 0,
             epoch: Instant::now(),
-            epoch_unix_ms: unix.map_or(0.0, |since| since.as_secs_f64() * 1e3),
             open: HashMap::new(),
             ids: HashSet::new(),
             sent: BTreeMap::new(),
-            names: HashMap::new(),
-            servers: BTreeMap::new(),
-            next_upstream: 1,
+            servers: Servers::new(unix.map_or(0.0, |since| since.as_secs_f64() * 1e3)),
             timers: BTreeMap::new(),
             next_timer: 0,
             permits: Arc::new(Semaphore::new(max_connections)),
@@ -272,7 +253,8 @@
                 }
                 Timer::Sweep => {
                     let limit = self.idle_limit();
-                    self.servers.values_mut().for_each(|server| server.pool.sweep(limit));
+                    self.servers.pools().for_each(|pool| pool.sweep(limit));
+                    self.servers.forget(self.sent.values().map(|sent| sent.flight.upstream));
                     self.set_timer(now + SWEEP, Timer::Sweep);
                 }
             }
@@ -406,7 +388,7 @@
             Some(until) if !timeout.is_zero() => until.min(open.deadline),
             _ => open.deadline,
         };
-        let life = self.servers.get(&upstream).map_or(0, |server| server.life);
+        let life = self.servers.get(upstream).map_or(0, |server| server.life);
         let flight = Flight { request, attempt, upstream, life, until };
         self.sent.insert((request, attempt), Sent { flight, at: now, give_up: None });
         self.start(flight);
@@ -415,7 +397,7 @@
     /// Gets a connection for an attempt: an idle one, or a new one.
     fn start(&mut self, flight: Flight) {
         let limit = self.idle_limit();
-        let Some(server) = self.servers.get_mut(&flight.upstream) else {
+        let Some(server) = self.servers.get_mut(flight.upstream) else {
             return self.end_later(flight, Outcome::NotSent);
         };
         if let Some(connection) = server.pool.take(limit) {
@@ -444,7 +426,7 @@
         if let Ok(permit) = self.permits.clone().try_acquire_owned() {
             return Some(permit);
         }
-        let pools = self.servers.values_mut().map(|server| &mut server.pool);
+        let pools = self.servers.pools();
         pools.filter(|pool| pool.oldest().is_some()).min_by_key(|pool| pool.oldest())?.drop_oldest();
         self.permits.clone().try_acquire_owned().ok()
     }
@@ -456,7 +438,7 @@
             Ok(connection) => *connection,
             Err(reason) => {
                 if !given_up {
-                    let host = self.servers.get(&flight.upstream).map_or("?", |server| &server.host);
+                    let host = self.servers.get(flight.upstream).map_or("?", |server| &server.host);
                     log::line(format!("upstream {host}: {reason}"));
                 }
                 let outcome = if given_up { Outcome::NotSent } else { Outcome::Unreachable };
@@ -467,7 +449,7 @@
         // begun to drain or to live anew: what is not written yet must not be.
         let open = self.open.contains_key(&flight.request) && !given_up;
         let in_time = Instant::now() < flight.until;
-        let wanted = self.servers.get(&flight.upstream).is_some_and(|server| {
+        let wanted = self.servers.get(flight.upstream).is_some_and(|server| {
             server.life == flight.life && server.listing.lifecycle == Lifecycle::Serving
         });
         if open && wanted && in_time {
@@ -485,7 +467,7 @@
             self.put_back(flight.upstream, flight.life, connection);
             return self.end_later(flight, Outcome::NotSent);
         };
-        let dial = self.servers.get(&flight.upstream).map(|server| server.dial);
+        let dial = self.servers.get(flight.upstream).map(|server| server.dial);
         let request = outgoing(&open.forward, dial, flight.until);
         let body_len = open.forward.body.len();
         let (give_up, given_up) = oneshot::channel();
@@ -546,7 +528,7 @@
     }
 
     fn put_back(&mut self, upstream: UpstreamId, life: u64, connection: Connection) {
-        let Some(server) = self.servers.get_mut(&upstream) else { return };
+        let Some(server) = self.servers.get_mut(upstream) else { return };
         if server.life == life && server.listing.lifecycle == Lifecycle::Serving && connection.is_usable() {
             server.pool.put(connection);
         }
@@ -556,7 +538,7 @@
         let limit = self.idle_limit();
         let now = Instant::now();
         let nothing = Happening::Probed { upstream, answer: None };
-        let Some(server) = self.servers.get_mut(&upstream) else {
+        let Some(server) = self.servers.get_mut(upstream) else {
             let _ = self.happenings.send(nothing);
             return;
         };
@@ -587,24 +569,9 @@
 
     fn listed(&mut self, list: &HostList, restored: bool) {
         self.seq = list.seq;
-        let hosts = list.entries();
         let whole = list.whole || restored;
-        let mut listings: Vec<Listing> = hosts.iter().map(|host| self.update(host)).collect();
-        if whole {
-            // An entry that cannot be read is not missing: what was known of its host stands.
-            let unread = list.unread_names().filter_map(|name| self.names.get(name));
-            listings
-                .extend(unread.filter_map(|id| self.servers.get(id)).map(|server| server.listing.clone()));
-            for server in self.servers.values_mut() {
-                if !listings.iter().any(|listing| listing.upstream == server.listing.upstream) {
-                    server.listing.lifecycle = Lifecycle::Leaving;
-                    server.pool.clear();
-                }
-            }
-        }
-        if self.names.len() > NAMES {
-            self.forget();
-        }
+        let now = self.millis(Instant::now());
+        let listings = self.servers.take(list, whole, &self.settings, now);
         self.front.ready.fetch_or(!listings.is_empty() || (whole && !restored), Ordering::Relaxed);
         self.event(Event::Listed(match (restored, whole) {
             (true, _) => ListNews::Restored(listings),
@@ -612,56 +579,6 @@
             (false, false) => ListNews::Changed(listings),
         }));
     }
-
-    /// Takes in what discovery says of one host, in the module's terms.
-    fn update(&mut self, host: &Host) -> Listing {
-        let id = *self.names.entry(host.host.clone()).or_insert_with(|| {
-            self.next_upstream += 1;
-            UpstreamId(self.next_upstream)
-        });
-        let lifecycle = if host.health == Health::Ready { Lifecycle::Serving } else { Lifecycle::Leaving };
-        let known = self.servers.get(&id).filter(|server| server.born_ms == host.born_ms);
-        // A start in the future, by another machine's clock, is one just now.
-        let started = match known {
-            Some(server) => server.listing.started,
-            None => (host.born_ms > 0.0)
-                .then(|| (host.born_ms - self.epoch_unix_ms).min(self.millis(Instant::now()))),
-        };
-        let listing = Listing {
-            upstream: id,
-            zone: ZoneId(self.settings.zone_named(&host.site)),
-            cell: CellId(host.block),
-            kind: KindId(self.settings.kind_named(&host.class)),
-            lifecycle,
-            weight: host.share,
-            started,
-        };
-        let server = self.servers.entry(id).or_insert_with(|| Server {
-            host: host.host.clone(),
-            listing: listing.clone(),
-            dial: host.dial,
-            born_ms: host.born_ms,
-            life: 0,
-            pool: Pool::default(),
-        });
-        // Connections to another address or another life lead nowhere, or to the wrong process.
-        if server.dial != host.dial || server.born_ms != host.born_ms {
-            server.life += 1;
-            server.pool.clear();
-        }
-        if lifecycle == Lifecycle::Leaving {
-            server.pool.clear();
-        }
-        (server.dial, server.born_ms, server.listing) = (host.dial, host.born_ms, listing.clone());
-        listing
-    }
-
-    /// Forgets upstreams that are gone, so that names do not pile up.
-    fn forget(&mut self) {
-        let busy: Vec<UpstreamId> = self.sent.values().map(|sent| sent.flight.upstream).collect();
-        self.servers.retain(|id, server| server.listing.lifecycle == Lifecycle::Serving || busy.contains(id));
-        self.names.retain(|_, id| self.servers.contains_key(id));
-    }
 }
 
 /// The request as it goes to an upstream.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,4 +7,5 @@
 pub mod discovery;
 pub mod driver;
 pub mod log;
+pub mod servers;
 pub mod upstream;
