--- a/src/bin/sagemast-simhost/main.rs
+++ b/crates/cli/src/bin/sagemast-simhost/main.rs
@@ -6,9 +6,9 @@
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
 
-use sagemast::Balancer;
-use sagemast::api::*;
-use sagemast::settings::{Column, report};
+use sagemast_decide::Balancer;
+use sagemast_decide::api::*;
+use sagemast_decide::settings::{Column, report};
 use wire::*;
 
 /// One sidecar's module, and how its load reports are laid out.
--- a/src/bin/sagemast-simhost/wire.rs
+++ b/crates/cli/src/bin/sagemast-simhost/wire.rs
@@ -1,7 +1,7 @@
 //! The simulator's wire: JSON lines, read into types and turned into the module's own terms.
 
-use sagemast::api::*;
-use sagemast::settings::Config;
+use sagemast_decide::api::*;
+use sagemast_decide::settings::Config;
 use serde::{Deserialize, Serialize};
 
 #[derive(Deserialize)]
--- a/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,4 @@
-//! The sidecar: one program on real sockets round the decision module of the library.
-
-mod net;
+//! The sidecar: one program on real sockets round the decision module.
 
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -11,10 +9,10 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
-use net::client::{self, Front, Names, Phase};
-use net::config::Config;
-use net::driver::{Driver, Happening};
-use net::log;
+use sagemast_sidecar::client::{self, Front, Names, Phase};
+use sagemast_sidecar::config::Config;
+use sagemast_sidecar::driver::{Driver, Happening};
+use sagemast_sidecar::log;
 
 /// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
 const STILL_COMING: Duration = Duration::from_millis(550);
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,9 @@
+//! The decision module: which upstream, whether to try again, what is turned away. Events in, actions out; no
+//! clock and no I/O, so the same seed, settings and events give the same actions.
+
+pub mod api;
+pub mod brain;
+pub mod settings;
+mod state;
+
+pub use brain::Balancer;
--- a/tests/any_order.rs
+++ b/crates/decide/tests/any_order.rs
@@ -6,8 +6,8 @@
 
 use common::*;
 use oorandom::Rand64;
-use sagemast::Balancer;
-use sagemast::api::*;
+use sagemast_decide::Balancer;
+use sagemast_decide::api::*;
 
 struct Try {
     upstream: UpstreamId,
--- a/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small stage for the module: settings, servers and events, without any bench.
 #![allow(dead_code)]
 
-use sagemast::Balancer;
-use sagemast::api::*;
+use sagemast_decide::Balancer;
+use sagemast_decide::api::*;
 
 pub const REPEATABLE: ClassId = ClassId(0);
 pub const BY_CELL: ClassId = ClassId(1);
--- a/tests/deployments.rs
+++ b/crates/decide/tests/deployments.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use sagemast::api::*;
+use sagemast_decide::api::*;
 
 /// Serves 300 requests, answering each send after `took`; how many were served.
 fn serve(settings: Settings, servers: Vec<Listing>, piggyback: bool) -> (usize, usize) {
--- a/tests/health.rs
+++ b/crates/decide/tests/health.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use sagemast::api::*;
+use sagemast_decide::api::*;
 
 /// Answers every send at once: server 1 fails as `bad` says, the others serve in 30 ms.
 fn play(stage: &mut Stage, rounds: usize, bad: Outcome, all_bad: bool) -> usize {
--- a/tests/pick.rs
+++ b/crates/decide/tests/pick.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use sagemast::Balancer;
-use sagemast::api::*;
+use sagemast_decide::Balancer;
+use sagemast_decide::api::*;
 
 /// Sends of `rounds` requests that all stay out for `hold` ms, with servers that report what they hold.
 fn shares(kappas: &[(u64, f64)], rounds: usize, hold: Millis) -> BTreeMap<u64, usize> {
--- a/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use sagemast::api::*;
+use sagemast_decide::api::*;
 
 fn cells() -> Vec<Listing> {
     // Cells 0 and 1 in zone 0, cell 2 in zone 1.
--- a/src/net/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -15,15 +15,15 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use sagemast::api::*;
+use sagemast_decide::api::*;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::{Id, JoinSet};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::driver::Happening;
-use super::log;
-use super::upstream::BODY_BYTES;
+use crate::driver::Happening;
+use crate::log;
+use crate::upstream::BODY_BYTES;
 
 /// Clients that connect while the sidecar starts or is busy wait here.
 const BACKLOG: u32 = 4096;
--- a/src/net/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 
 use anyhow::{Context, Result, bail};
-use sagemast::settings::Config as SettingsObject;
+use sagemast_decide::settings::Config as SettingsObject;
 use serde::Deserialize;
 
-use super::discovery::HostList;
+use crate::discovery::HostList;
 
 /// The configuration file.
 #[derive(Deserialize)]
--- a/src/net/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -15,8 +15,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use super::driver::Happening;
-use super::log;
+use crate::driver::Happening;
+use crate::log;
 
 /// An empty line comes every 2 s; after this long without a byte the watch is dead. What it would have told
 /// counts as told 6 s after discovery knew it, so there is no time to wait for more.
--- a/src/net/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -10,17 +10,17 @@
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
-use sagemast::Balancer;
-use sagemast::api::*;
-use sagemast::settings::{Column, Config as SettingsObject, report_from_text};
+use sagemast_decide::Balancer;
+use sagemast_decide::api::*;
+use sagemast_decide::settings::{Column, Config as SettingsObject, report_from_text};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
-use super::client::{Arrival, Final, Forward, Front, end_to_end};
-use super::discovery::{AbortOnDrop, HostList, Watch};
-use super::log;
-use super::servers::Servers;
-use super::upstream::{Answer, Connection, End, Permits, Source, attempt, probe};
+use crate::client::{Arrival, Final, Forward, Front, end_to_end};
+use crate::discovery::{AbortOnDrop, HostList, Watch};
+use crate::log;
+use crate::servers::Servers;
+use crate::upstream::{Answer, Connection, End, Permits, Source, attempt, probe};
 
 /// The module is told this much less than the client waits: its last word must reach the client in time. An
 /// answer takes a fraction of a millisecond to it; the rest is for a turn in which much else is to be done.
--- a/src/net/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -3,11 +3,11 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
-use sagemast::api::*;
-use sagemast::settings::Config as SettingsObject;
+use sagemast_decide::api::*;
+use sagemast_decide::settings::Config as SettingsObject;
 
-use super::discovery::{Health, Host, HostList};
-use super::upstream::Pool;
+use crate::discovery::{Health, Host, HostList};
+use crate::upstream::Pool;
 
 /// An upstream that discovery named.
 pub struct Server {
--- a/src/net/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -9,15 +9,15 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use sagemast::api::*;
+use sagemast_decide::api::*;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-use super::counted::{Counted, Meter};
-use super::driver::{Flight, Happening};
-use super::log;
+use crate::counted::{Counted, Meter};
+use crate::driver::{Flight, Happening};
+use crate::log;
 
 /// Bodies hold at most this much, both ways.
 pub const BODY_BYTES: usize = 64 << 10;
