One instance as a library: messages in a file that knows no part, budgets handed in

Need: client, upstream, discovery, servers and driver knew each other in a circle, and an instance could not be started twice in a process, drained or ended on its own.

messages.rs and hosts.rs hold the values; each part tells what happened through an outlet and does not know who listens. Connections are counted by quotas that can be changed while they are held. An idle instance has no timer (it woke twice a second). Found on the way: an attempt that was given up before its task had its first turn still wrote its request, after the final answer; now it is not written.

--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -7,7 +7,7 @@
 use sagemast_decide::settings::Config as SettingsObject;
 use serde::Deserialize;
 
-use crate::discovery::HostList;
+use crate::hosts::HostList;
 
 /// The configuration file.
 #[derive(Deserialize)]
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -13,14 +13,18 @@
 use sagemast_decide::Balancer;
 use sagemast_decide::api::*;
 use sagemast_decide::settings::{Column, Config as SettingsObject, report_from_text};
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
-use crate::client::{Arrival, Final, Forward, Front, end_to_end};
-use crate::discovery::{AbortOnDrop, HostList, Watch};
-use crate::log;
+use crate::budget::{Budgets, Permit};
+use crate::discovery::{AbortOnDrop, FromDiscovery, Watch};
+use crate::headers::end_to_end;
+use crate::hosts::HostList;
+use crate::log::Log;
+use crate::messages::{Arrival, End, Final, Flight, Forward, FromClients, Outlet};
 use crate::servers::Servers;
-use crate::upstream::{Answer, Connection, End, Permits, Source, attempt, probe};
+use crate::upstream::{Connection, FromUpstreams, Source, attempt, connect, probe};
+use crate::vitals::Vitals;
 
 /// The module is told this much less than the client waits: its last word must reach the client in time. An
 /// answer takes a fraction of a millisecond to it; the rest is for a turn in which much else is to be done.
@@ -35,71 +39,45 @@
 /// Idle connections are closed after this share of the time that upstreams keep them: one that is written to
 /// just as the upstream closes it ends as a reset.
 const IDLE_SHARE: f64 = 0.7;
-/// One attempt on its way.
-#[derive(Debug, Clone, Copy)]
-pub struct Flight {
-    /// The request.
-    pub request: RequestId,
-    /// Which of its sends.
-    pub attempt: AttemptNo,
-    /// Where to.
-    pub upstream: UpstreamId,
-    /// Which of the upstream's lives: connections do not outlast one.
-    pub life: u64,
-    /// When the attempt is given up.
-    pub until: Instant,
+
+/// What the owner of an instance asks of its driver.
+pub enum Order {
+    /// Watch discovery here from now on; the list and the connections stay.
+    Discovery(SocketAddr),
+    /// Hand over the list of upstreams as it stands.
+    List(oneshot::Sender<HostList>),
+    /// Fail, as a fault in the code would make it fail. Only the rig and tests ask for this.
+    Panic,
 }
 
 /// Something that the driver is told.
 pub enum Happening {
-    /// A request came in.
-    Arrived(Box<Arrival>),
-    /// Its client went away.
-    ClientLeft(RequestId),
-    /// A connection for an attempt came up or did not.
-    Connected(Flight, Result<Box<Connection>, String>),
-    /// An attempt ended.
-    Ended {
-        /// Which.
-        flight: Flight,
-        /// How.
-        end: End,
-    },
-    /// A connection is free.
-    Idle {
-        /// To whom.
-        upstream: UpstreamId,
-        /// In which of its lives.
-        life: u64,
-        /// The connection.
-        connection: Box<Connection>,
-    },
-    /// A probe ended.
-    Probed {
-        /// Who was asked.
-        upstream: UpstreamId,
-        /// What came back.
-        answer: Option<Answer>,
-    },
-    /// Discovery told something.
-    Listed {
-        /// To which watch.
-        watch: u64,
-        /// What.
-        list: HostList,
-    },
-    /// The configuration was read again.
-    Reloaded {
-        /// Where discovery is asked from now on.
-        discovery: SocketAddr,
-    },
-    /// A call to discovery failed or the watch ended.
-    DiscoveryFailed {
-        /// Which.
-        watch: u64,
-        /// The version to go on from: 0 if something was missed.
-        seq: u64,
-    },
+    /// By clients.
+    Clients(FromClients),
+    /// By connections to upstreams.
+    Upstreams(FromUpstreams),
+    /// By the discovery watch.
+    Discovery(FromDiscovery),
+    /// By the owner of the instance.
+    Order(Order),
+}
+
+impl From<FromClients> for Happening {
+    fn from(message: FromClients) -> Happening {
+        Happening::Clients(message)
+    }
+}
+
+impl From<FromUpstreams> for Happening {
+    fn from(message: FromUpstreams) -> Happening {
+        Happening::Upstreams(message)
+    }
+}
+
+impl From<FromDiscovery> for Happening {
+    fn from(message: FromDiscovery) -> Happening {
+        Happening::Discovery(message)
+    }
 }
 
 /// A send that has not ended.
@@ -126,15 +104,46 @@
     Sweep,
 }
 
+/// What the driver tells the owner of its instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    /// It has a list of upstreams: `/up` answers 200.
+    Ready,
+    /// The list has changed.
+    Listed,
+}
+
+/// What a driver is made of.
+pub struct Parts {
+    /// The settings.
+    pub settings: SettingsObject,
+    /// For random numbers.
+    pub seed: u64,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// What it may hold.
+    pub budgets: Budgets,
+    /// What it counts.
+    pub vitals: Arc<Vitals>,
+    /// Where it logs.
+    pub log: Log,
+    /// Whom it tells how it fares.
+    pub listener: Outlet<Told>,
+}
+
 /// The driver.
 pub struct Driver {
     module: Balancer,
     settings: SettingsObject,
     columns: Vec<Column>,
     subscribed: bool,
-    front: Arc<Front>,
+    vitals: Arc<Vitals>,
+    log: Log,
+    budgets: Budgets,
+    listener: Outlet<Told>,
     inbox: mpsc::UnboundedReceiver<Happening>,
-    happenings: mpsc::UnboundedSender<Happening>,
+    upstreams: Outlet<FromUpstreams>,
+    news: Outlet<FromDiscovery>,
     discovery: SocketAddr,
     seq: u64,
     watch: Option<AbortOnDrop>,
@@ -148,33 +157,33 @@
     servers: Servers,
     timers: BTreeMap<(Instant, u64), Timer>,
     next_timer: u64,
-    permits: Permits,
+    /// Whether a sweep is to come.
+    sweeping: bool,
     probe_time: Duration,
     actions: Vec<Action>,
 }
 
 impl Driver {
-    /// A driver that knows the settings and nothing else.
-    pub fn new(
-        settings: SettingsObject,
-        seed: u64,
-        discovery: SocketAddr,
-        front: Arc<Front>,
-        inbox: mpsc::UnboundedReceiver<Happening>,
-        max_connections: usize,
-    ) -> Driver {
+    /// A driver that knows the settings and nothing else, and the channel that leads to it.
+    pub fn new(parts: Parts) -> (Driver, mpsc::UnboundedSender<Happening>) {
+        let Parts { settings, seed, discovery, budgets, vitals, log, listener } = parts;
+        let (happenings, inbox) = mpsc::unbounded_channel();
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let mut told = settings.settings();
         // The module keeps one tick in hand before a key's window ends, since in the simulator a send is on
         // its way at once. Here it may first have to connect.
         told.limits.tick = told.limits.tick.max(settings.connect_timeout_ms());
-        Driver {
+        let driver = Driver {
             subscribed: matches!(told.discovery, Discovery::Subscribed { .. }),
             module: Balancer::new(told, seed),
             columns: settings.columns(),
-            happenings: front.happenings.clone(),
-            front,
+            vitals,
+            log,
+            budgets,
+            listener,
             inbox,
+            upstreams: Outlet::new(happenings.clone()),
+            news: Outlet::new(happenings.clone()),
             discovery,
             seq: 0,
             watch: None,
@@ -186,11 +195,12 @@
             servers: Servers::new(unix.map_or(0.0, |since| since.as_secs_f64() * 1e3)),
             timers: BTreeMap::new(),
             next_timer: 0,
-            permits: Arc::new(Semaphore::new(max_connections)),
+            sweeping: false,
             probe_time: Duration::from_secs_f64(settings.shortest_aim_ms() * PROBE_SHARE / 1e3),
             actions: Vec::new(),
             settings,
-        }
+        };
+        (driver, happenings)
     }
 
     /// Runs for good.
@@ -200,7 +210,6 @@
         if !self.subscribed {
             self.watch();
         }
-        self.set_timer(Instant::now() + SWEEP, Timer::Sweep);
         loop {
             let due = self.timers.keys().next().map(|key| key.0);
             tokio::select! {
@@ -209,7 +218,8 @@
                     Some(happening) => self.happened(happening),
                     None => return,
                 },
-                () = sleep_until(due.unwrap_or_else(|| Instant::now() + SWEEP)) => {}
+                // An idle instance has no timer, and so costs nothing.
+                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
             }
             self.fire();
         }
@@ -219,8 +229,8 @@
     /// one tells it again, since it goes on from the last version that was taken in.
     fn watch(&mut self) {
         self.watches += 1;
-        let (address, number, news) = (self.discovery, self.watches, self.happenings.clone());
-        let watch = Watch { address, number, seq: self.seq, news, missed: false };
+        let (address, number, news) = (self.discovery, self.watches, self.news.clone());
+        let watch = Watch { address, number, seq: self.seq, news, log: self.log.clone(), missed: false };
         self.watch = Some(AbortOnDrop(if self.subscribed {
             tokio::spawn(watch.ask())
         } else {
@@ -255,12 +265,21 @@
                     let limit = self.idle_limit();
                     self.servers.pools().for_each(|pool| pool.sweep(limit));
                     self.servers.forget(self.sent.values().map(|sent| sent.flight.upstream));
-                    self.set_timer(now + SWEEP, Timer::Sweep);
+                    self.sweeping = false;
+                    self.sweep_later();
                 }
             }
         }
     }
 
+    /// Looks through idle connections and the gone before long, if there are any.
+    fn sweep_later(&mut self) {
+        if !self.sweeping && self.servers.need_sweep() {
+            self.sweeping = true;
+            self.set_timer(Instant::now() + SWEEP, Timer::Sweep);
+        }
+    }
+
     fn idle_limit(&self) -> Duration {
         Duration::from_secs_f64(self.settings.keepalive_ms() * IDLE_SHARE / 1e3)
     }
@@ -278,32 +297,49 @@
 
     fn happened(&mut self, happening: Happening) {
         match happening {
-            Happening::Arrived(arrival) => self.arrived(*arrival),
-            Happening::ClientLeft(request) => {
+            Happening::Clients(FromClients::Arrived(arrival)) => self.arrived(*arrival),
+            Happening::Clients(FromClients::Left(request)) => {
                 self.close(request);
                 self.leave(request);
             }
-            Happening::Connected(flight, connection) => self.connected(flight, connection),
-            Happening::Ended { flight, end } => self.ended(flight, end),
-            Happening::Idle { upstream, life, connection } => self.put_back(upstream, life, *connection),
-            Happening::Probed { upstream, answer } => {
+            Happening::Upstreams(message) => self.heard_of_upstream(message),
+            Happening::Discovery(message) => self.heard_of_list(message),
+            Happening::Order(Order::Discovery(address)) => {
+                self.discovery = address;
+                self.watch();
+            }
+            Happening::Order(Order::List(reply)) => {
+                // Who asked may have gone.
+                let _ = reply.send(self.servers.list(self.seq));
+            }
+            Happening::Order(Order::Panic) => panic!("told to fail"),
+        }
+    }
+
+    fn heard_of_upstream(&mut self, message: FromUpstreams) {
+        match message {
+            FromUpstreams::Connected(flight, connection) => self.connected(flight, connection),
+            FromUpstreams::Ended { flight, end } => self.ended(flight, end),
+            FromUpstreams::Idle { upstream, life, connection } => self.put_back(upstream, life, *connection),
+            FromUpstreams::Probed { upstream, answer } => {
                 let answered = answer.as_ref().is_some_and(|answer| answer.status == 200);
                 let text = answer.filter(|_| answered);
                 let text = text.as_ref().and_then(|answer| std::str::from_utf8(&answer.body).ok());
                 let report = text.and_then(|text| report_from_text(&self.columns, text));
                 self.event(Event::Probed { upstream, answered, report });
             }
-            Happening::Listed { watch, list } if watch == self.watches => self.listed(&list, false),
-            Happening::DiscoveryFailed { watch, seq } if watch == self.watches => {
+        }
+    }
+
+    fn heard_of_list(&mut self, message: FromDiscovery) {
+        match message {
+            FromDiscovery::Listed { watch, list } if watch == self.watches => self.listed(&list, false),
+            FromDiscovery::Failed { watch, seq } if watch == self.watches => {
                 self.seq = seq;
                 self.event(Event::Listed(ListNews::Unavailable));
             }
             // Of a watch that another has taken the place of.
-            Happening::Listed { .. } | Happening::DiscoveryFailed { .. } => {}
-            Happening::Reloaded { discovery } => {
-                self.discovery = discovery;
-                self.watch();
-            }
+            FromDiscovery::Listed { .. } | FromDiscovery::Failed { .. } => {}
         }
     }
 
@@ -372,7 +408,7 @@
                 self.set_timer(at, Timer::Wake(token));
             }
             Action::Subscribe => self.watch(),
-            Action::Log(text) => log::line(text),
+            Action::Log(text) => self.log.line(text),
         }
     }
 
@@ -403,32 +439,25 @@
         if let Some(connection) = server.pool.take(limit) {
             return self.write(flight, connection);
         }
-        let dial = server.dial;
+        let dial = server.dial();
         // Out of sockets of our own: no fault of the upstream's.
-        let Some(permit) = self.permit() else { return self.end_later(flight, Outcome::NotSent) };
+        let Some(permit) = self.permit(dial) else { return self.end_later(flight, Outcome::NotSent) };
         let (give_up, given_up) = oneshot::channel();
         if let Some(sent) = self.sent.get_mut(&(flight.request, flight.attempt)) {
             sent.give_up = Some(give_up);
         }
         let by = Instant::now() + Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
-        let happenings = self.happenings.clone();
-        tokio::spawn(async move {
-            let result = tokio::select! {
-                result = Connection::open(dial, by.min(flight.until), permit) => result,
-                _ = given_up => Err("given up".to_owned()),
-            };
-            let _ = happenings.send(Happening::Connected(flight, result.map(Box::new)));
-        });
+        tokio::spawn(connect(dial, by, permit, flight, given_up, self.upstreams.clone()));
     }
 
     /// The right to one more connection; an idle one is closed for it if need be.
-    fn permit(&mut self) -> Option<tokio::sync::OwnedSemaphorePermit> {
-        if let Ok(permit) = self.permits.clone().try_acquire_owned() {
+    fn permit(&mut self, dial: SocketAddr) -> Option<Permit> {
+        if let Some(permit) = self.budgets.permit(dial) {
             return Some(permit);
         }
         let pools = self.servers.pools();
         pools.filter(|pool| pool.oldest().is_some()).min_by_key(|pool| pool.oldest())?.drop_oldest();
-        self.permits.clone().try_acquire_owned().ok()
+        self.budgets.permit(dial)
     }
 
     fn connected(&mut self, flight: Flight, connection: Result<Box<Connection>, String>) {
@@ -438,8 +467,8 @@
             Ok(connection) => *connection,
             Err(reason) => {
                 if !given_up {
-                    let host = self.servers.get(flight.upstream).map_or("?", |server| &server.host);
-                    log::line(format!("upstream {host}: {reason}"));
+                    let host = self.servers.get(flight.upstream).map_or("?", |server| &server.host.host);
+                    self.log.line(format!("upstream {host}: {reason}"));
                 }
                 let outcome = if given_up { Outcome::NotSent } else { Outcome::Unreachable };
                 return self.ended(flight, End::Outcome(outcome, None));
@@ -467,20 +496,21 @@
             self.put_back(flight.upstream, flight.life, connection);
             return self.end_later(flight, Outcome::NotSent);
         };
-        let dial = self.servers.get(flight.upstream).map(|server| server.dial);
+        let dial = self.servers.get(flight.upstream).map(|server| server.dial());
         let request = outgoing(&open.forward, dial, flight.until);
         let body_len = open.forward.body.len();
         let (give_up, given_up) = oneshot::channel();
         if let Some(sent) = self.sent.get_mut(&key) {
             sent.give_up = Some(give_up);
         }
-        let happenings = self.happenings.clone();
-        tokio::spawn(attempt(connection, request, body_len, flight, given_up, happenings));
+        Vitals::count(&self.vitals.sends);
+        let (log, told) = (self.log.clone(), self.upstreams.clone());
+        tokio::spawn(attempt(connection, request, body_len, flight, given_up, log, told));
     }
 
     /// Ends an attempt that never began, after the actions at hand.
     fn end_later(&self, flight: Flight, outcome: Outcome) {
-        let _ = self.happenings.send(Happening::Ended { flight, end: End::Outcome(outcome, None) });
+        self.upstreams.tell(FromUpstreams::Ended { flight, end: End::Outcome(outcome, None) });
     }
 
     fn ended(&mut self, flight: Flight, end: End) {
@@ -531,27 +561,28 @@
         let Some(server) = self.servers.get_mut(upstream) else { return };
         if server.life == life && server.listing.lifecycle == Lifecycle::Serving && connection.is_usable() {
             server.pool.put(connection);
+            self.sweep_later();
         }
     }
 
     fn probe(&mut self, upstream: UpstreamId) {
         let limit = self.idle_limit();
         let now = Instant::now();
-        let nothing = Happening::Probed { upstream, answer: None };
+        let nothing = FromUpstreams::Probed { upstream, answer: None };
         let Some(server) = self.servers.get_mut(upstream) else {
-            let _ = self.happenings.send(nothing);
+            self.upstreams.tell(nothing);
             return;
         };
-        let (dial, life) = (server.dial, server.life);
+        let (dial, life) = (server.dial(), server.life);
         let source = match server.pool.take(limit) {
             Some(connection) => Source::Idle(Box::new(connection)),
-            None => match self.permit() {
+            None => match self.permit(dial) {
                 Some(permit) => {
                     let by = now + Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
                     Source::Dial(dial, by, permit)
                 }
                 None => {
-                    let _ = self.happenings.send(nothing);
+                    self.upstreams.tell(nothing);
                     return;
                 }
             },
@@ -562,7 +593,7 @@
         if let Ok(host) = HeaderValue::from_str(&dial.to_string()) {
             request.headers_mut().insert(header::HOST, host);
         }
-        tokio::spawn(probe(source, request, upstream, life, now + self.probe_time, self.happenings.clone()));
+        tokio::spawn(probe(source, request, upstream, life, now + self.probe_time, self.upstreams.clone()));
     }
 
     // --- The list ----------------------------------------------------------------------------
@@ -571,8 +602,16 @@
         self.seq = list.seq;
         let whole = list.whole || restored;
         let now = self.millis(Instant::now());
-        let listings = self.servers.take(list, whole, &self.settings, now);
-        self.front.ready.fetch_or(!listings.is_empty() || (whole && !restored), Ordering::Relaxed);
+        let listings = self.servers.take(list, whole, &self.settings, now, &self.log);
+        self.vitals.seq.store(self.seq, Ordering::Relaxed);
+        self.vitals.upstreams.store(self.servers.count() as u64, Ordering::Relaxed);
+        self.sweep_later();
+        if !listings.is_empty() || (whole && !restored) {
+            if !self.vitals.ready.swap(true, Ordering::Release) {
+                self.listener.tell(Told::Ready);
+            }
+            self.listener.tell(Told::Listed);
+        }
         self.event(Event::Listed(match (restored, whole) {
             (true, _) => ListNews::Restored(listings),
             (false, true) => ListNews::Complete(listings),
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/front.rs
@@ -10,20 +10,22 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sagemast_decide::api::*;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::{Id, JoinSet};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::driver::Happening;
-use crate::log;
-use crate::upstream::BODY_BYTES;
+use crate::budget::Quota;
+use crate::headers::end_to_end;
+use crate::log::Log;
+use crate::messages::{Arrival, BODY_BYTES, Final, Forward, FromClients, Outlet};
+use crate::vitals::Vitals;
 
 /// Clients that connect while the sidecar starts or is busy wait here.
 const BACKLOG: u32 = 4096;
@@ -54,10 +56,12 @@
 pub enum Phase {
     /// Serving.
     Open,
-    /// SIGTERM came: still accepting, but every answer closes its connection.
+    /// The end has begun: still accepting, but every answer closes its connection.
     Leaving,
     /// No client comes any more: only what is open is finished.
     Closing,
+    /// The same, and whoever still comes is for a successor that listens on the same socket.
+    HandedOver,
 }
 
 /// What class and tenant names stand for.
@@ -72,76 +76,32 @@
 pub struct Front {
     /// Names in requests.
     pub names: Names,
-    /// Whether `/up` says so.
-    pub ready: AtomicBool,
     /// How far the end has come.
     pub phase: watch::Receiver<Phase>,
     /// To the driver.
-    pub happenings: mpsc::UnboundedSender<Happening>,
+    pub told: Outlet<FromClients>,
+    /// How many connections there may be.
+    pub connections: Quota,
+    /// Whether it is ready, and what was counted.
+    pub vitals: Arc<Vitals>,
+    /// For what goes wrong.
+    pub log: Log,
     /// Ids for the module: those of clients come from outside and might come twice.
     next_id: AtomicU64,
 }
 
-/// A request as it goes on to upstreams.
-pub struct Forward {
-    /// Method.
-    pub method: Method,
-    /// Path and query, unchanged.
-    pub target: Uri,
-    /// End-to-end headers.
-    pub headers: HeaderMap,
-    /// The body, unchanged.
-    pub body: Bytes,
-}
-
-/// A request for the driver.
-pub struct Arrival {
-    /// The id the module knows it by.
-    pub request: RequestId,
-    /// Its class.
-    pub class: ClassId,
-    /// Its tenant.
-    pub tenant: TenantId,
-    /// The id that its client gave it.
-    pub id: Box<str>,
-    /// When its last byte was read.
-    pub at: Instant,
-    /// How long its client waits from then on.
-    pub time_left: Duration,
-    /// What goes on to upstreams.
-    pub forward: Forward,
-    /// Where its final answer goes.
-    pub reply: oneshot::Sender<Final>,
-}
-
-/// A final answer.
-#[derive(Debug)]
-pub enum Final {
-    /// An upstream's answer.
-    Served(HeaderMap, Bytes),
-    /// Trying again is harmless, best after this long.
-    Refused(Millis),
-    /// No promise.
-    Failed,
-    /// The client is at fault: it is told with this status.
-    Rejected(StatusCode),
-}
-
 impl Front {
-    /// A front that is not ready yet.
+    /// A front that has taken nothing yet.
     pub fn new(
         names: Names,
         phase: watch::Receiver<Phase>,
-        happenings: mpsc::UnboundedSender<Happening>,
+        told: Outlet<FromClients>,
+        connections: Quota,
+        vitals: Arc<Vitals>,
+        log: Log,
     ) -> Front {
-        Front {
-            names,
-            ready: AtomicBool::new(false),
-            phase,
-            happenings,
-            // The module keeps timer 0 for itself and halves request ids into timers.
-            next_id: AtomicU64::new(2),
-        }
+        // The module keeps timer 0 for itself and halves request ids into timers.
+        Front { names, phase, told, connections, vitals, log, next_id: AtomicU64::new(2) }
     }
 }
 
@@ -189,37 +149,45 @@
 
 /// Accepts clients until the end: when it is closing, none is open and none waits to be accepted. A client that
 /// comes when there are as many connections as may be takes the place of one that has no request open.
-pub async fn serve(listener: TcpListener, front: Arc<Front>, max_connections: usize) {
+pub async fn serve(listener: Arc<TcpListener>, front: Arc<Front>) {
     let mut phase = front.phase.clone();
     let mut slots = Slots { epoch: Instant::now(), by_task: HashMap::new() };
     let mut connections = JoinSet::new();
     loop {
-        let closing = *phase.borrow_and_update() == Phase::Closing;
-        let room = connections.len() < max_connections + CLOSING;
+        let now = *phase.borrow_and_update();
+        let closing = now >= Phase::Closing;
+        let accepting = now < Phase::HandedOver;
+        let room = front.connections.held() < front.connections.limit() + CLOSING;
         tokio::select! {
             biased;
             Some(ended) = connections.join_next_with_id() => forget(&mut slots, ended),
-            accepted = listener.accept(), if room => match accepted {
+            accepted = listener.accept(), if room && accepting => match accepted {
                 Ok((stream, _)) => {
+                    // Another generation may have taken the last place since: then this one is a little over.
+                    let place = front.connections.take_beyond(CLOSING);
                     let free_since = AtomicU64::new(slots.millis());
                     let slot = Arc::new(Slot { free_since, make_room: Notify::new() });
                     let (front, kept, epoch) = (front.clone(), slot.clone(), slots.epoch);
-                    let task = connections.spawn(async move { connection(stream, &front, &slot, epoch).await });
+                    let held = front.connections.clone();
+                    let task = connections.spawn(async move {
+                        connection(stream, &front, &slot, epoch).await;
+                        drop(place);
+                    });
                     slots.by_task.insert(task.id(), kept);
-                    if connections.len() > max_connections {
+                    if held.held() > held.limit() {
                         slots.make_room();
                     }
                 }
                 Err(error) => {
-                    log::line(format!("cannot accept: {error}"));
+                    front.log.line(format!("cannot accept: {error}"));
                     slots.make_room();
                     sleep(ACCEPT_BACK_OFF).await;
                 }
             },
             // All are busy, or closing already.
-            () = sleep(ACCEPT_BACK_OFF), if !room => drop(slots.make_room()),
+            () = sleep(ACCEPT_BACK_OFF), if !room && accepting => drop(slots.make_room()),
             () = std::future::ready(()), if closing && connections.is_empty() => return,
-            changed = phase.changed(), if !closing => if changed.is_err() { return },
+            changed = phase.changed(), if accepting => if changed.is_err() { return },
         }
     }
 }
@@ -256,7 +224,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(if now == Phase::Closing { IDLE_AT_END } else { IDLE })
+        .header_read_timeout(if now >= Phase::Closing { IDLE_AT_END } else { IDLE })
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
@@ -271,7 +239,7 @@
                 let now = *phase.borrow_and_update();
                 // A connection that has carried nothing yet is about to: it gets its one answer while
                 // clients may still come. The others are closed as soon as they carry nothing.
-                if changed.is_err() || now == Phase::Closing || heard.load(Ordering::Relaxed) {
+                if changed.is_err() || now >= Phase::Closing || heard.load(Ordering::Relaxed) {
                     connection.as_mut().graceful_shutdown();
                 }
                 if changed.is_err() {
@@ -300,7 +268,8 @@
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
         if !self.answered {
-            let _ = self.front.happenings.send(Happening::ClientLeft(self.request));
+            Vitals::count(&self.front.vitals.left);
+            self.front.told.tell(FromClients::Left(self.request));
         }
     }
 }
@@ -315,7 +284,7 @@
     whole_by: Instant,
 ) -> Response<Full<Bytes>> {
     if request.uri().path() == "/up" {
-        let up = front.ready.load(Ordering::Relaxed);
+        let up = front.vitals.ready.load(Ordering::Relaxed);
         return match (request.method() == Method::GET, up) {
             (false, _) => plain(StatusCode::METHOD_NOT_ALLOWED, "use GET"),
             (true, true) => plain(StatusCode::OK, "up"),
@@ -344,9 +313,15 @@
     let forward = Forward { method: head.method, target, headers: end_to_end(&head.headers), body };
     let arrival = Arrival { request, class, tenant, id, at, time_left, forward, reply };
     let mut guard = Guard { request, front, answered: false };
-    let _ = front.happenings.send(Happening::Arrived(Box::new(arrival)));
+    Vitals::count(&front.vitals.taken);
+    front.told.tell(FromClients::Arrived(Box::new(arrival)));
     let answer = answer.await;
     guard.answered = true;
+    Vitals::count(match &answer {
+        Ok(Final::Served(..)) => &front.vitals.served,
+        Ok(Final::Refused(_)) => &front.vitals.refused,
+        Ok(Final::Failed | Final::Rejected(_)) | Err(_) => &front.vitals.failed,
+    });
     match answer {
         Ok(Final::Served(headers, body)) => {
             let mut response = Response::new(Full::new(body));
@@ -448,35 +423,6 @@
     }
 }
 
-/// The headers that are not about one connection or its framing.
-pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    const OF_CONNECTION: [HeaderName; 9] = [
-        header::CONNECTION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-    ];
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
-        .collect();
-    let mut kept = HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let of_connection = OF_CONNECTION.contains(name) || name == "keep-alive";
-        if !of_connection && !named.iter().any(|n| n == name.as_str()) {
-            kept.append(name, value.clone());
-        }
-    }
-    kept
-}
-
 fn plain(status: StatusCode, reason: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(reason.as_bytes())));
     *response.status_mut() = status;
--- /dev/null
+++ b/crates/sidecar/src/instance.rs
@@ -0,0 +1,254 @@
+//! One instance: clients on one side, upstreams on the other, the driver between them. It has no globals; the
+//! listener and all that it may hold are handed to it. [`Instance::run`] is its whole life, and [`Control`] is
+//! how its owner reaches it, from any thread.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sagemast_decide::settings::Config as SettingsObject;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{JoinError, JoinHandle};
+use tokio::time::{sleep, timeout};
+
+use crate::budget::Budgets;
+use crate::driver::{self, Driver, Happening, Order, Told};
+use crate::front::{self, Front, Names, Phase};
+use crate::hosts::HostList;
+use crate::log::Log;
+use crate::messages::{Final, FromClients, Outlet};
+use crate::vitals::Vitals;
+
+/// Once the driver has failed, its open requests are answered as failed at once; a client that does not read its
+/// answer must not hold up the restart for longer than this.
+const LAST_WORDS: Duration = Duration::from_millis(500);
+
+/// What an instance is made of.
+pub struct Parts {
+    /// The settings.
+    pub settings: SettingsObject,
+    /// For random numbers.
+    pub seed: u64,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// The list of upstreams as a predecessor last had it.
+    pub known: Option<HostList>,
+    /// Where clients connect. Registered with the runtime that the instance is run on.
+    pub listener: Arc<TcpListener>,
+    /// What it may hold.
+    pub budgets: Budgets,
+    /// Where it logs.
+    pub log: Log,
+    /// Whom it tells how it fares.
+    pub listening: Outlet<Told>,
+}
+
+/// How an instance is to end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Drain {
+    /// Clients still come for this long, by connections that were on their way; then it finishes what is open.
+    Close {
+        /// For how long.
+        linger: Duration,
+        /// It ends after this long in all, whatever is open.
+        at_most: Duration,
+    },
+    /// A successor listens on the same socket: it takes no new connection from now on and finishes what is open.
+    HandOver {
+        /// It ends after this long, whatever is open.
+        at_most: Duration,
+    },
+}
+
+/// How an instance has ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ended {
+    /// All that it had taken was answered.
+    Drained,
+    /// Its time for that was up.
+    Overdue,
+    /// A part of it failed; what was open was answered as failed.
+    Failed(String),
+}
+
+/// An instance that is about to run.
+pub struct Instance {
+    driver: Driver,
+    front: Arc<Front>,
+    listener: Arc<TcpListener>,
+    known: Option<HostList>,
+    phase: watch::Sender<Phase>,
+    drain: watch::Receiver<Option<Drain>>,
+}
+
+/// The owner's hold on an instance. All calls return at once.
+#[derive(Clone)]
+pub struct Control {
+    happenings: mpsc::UnboundedSender<Happening>,
+    drain: Arc<watch::Sender<Option<Drain>>>,
+    vitals: Arc<Vitals>,
+    longest: Duration,
+}
+
+impl Instance {
+    /// An instance and the hold on it.
+    pub fn new(parts: Parts) -> (Instance, Control) {
+        let Parts { settings, seed, discovery, known, listener, budgets, log, listening } = parts;
+        let vitals = Arc::new(Vitals::default());
+        let names = Names { classes: settings.classes(), tenants: settings.tenant_names() };
+        let longest = Duration::try_from_secs_f64(settings.longest_deadline_ms() / 1e3).unwrap_or_default();
+        let clients = budgets.clients.clone();
+        let (driver, happenings) = Driver::new(driver::Parts {
+            settings,
+            seed,
+            discovery,
+            budgets,
+            vitals: vitals.clone(),
+            log: log.clone(),
+            listener: listening,
+        });
+        let (phase, phases) = watch::channel(Phase::Open);
+        let told = Outlet::new(happenings.clone());
+        let front = Arc::new(Front::new(names, phases, told, clients, vitals.clone(), log));
+        let (drain, drains) = watch::channel(None);
+        let instance = Instance { driver, front, listener, known, phase, drain: drains };
+        (instance, Control { happenings, drain: Arc::new(drain), vitals, longest })
+    }
+
+    /// Runs until it has drained or failed. When this future is dropped, everything that belongs to the instance
+    /// ends with it: connections are closed as they are.
+    pub async fn run(self) -> Ended {
+        let Instance { driver, front, listener, known, phase, mut drain } = self;
+        let mut driver = Part(tokio::spawn(driver.run(known)));
+        let mut serving = Part(tokio::spawn(front::serve(listener, front)));
+        let how = loop {
+            tokio::select! {
+                // Neither ends by itself.
+                ended = &mut driver.0 => {
+                    // Its open requests have lost their replies: they are answered as failed. Who is still to be
+                    // accepted is for the successor.
+                    phase.send_replace(Phase::HandedOver);
+                    let _ = timeout(LAST_WORDS, &mut serving.0).await;
+                    return Ended::Failed(reason("the driver", ended));
+                }
+                ended = &mut serving.0 => return Ended::Failed(reason("the listener", ended)),
+                changed = drain.changed() => match (changed, *drain.borrow_and_update()) {
+                    (Ok(()), Some(how)) => break how,
+                    (Ok(()), None) => {}
+                    // Nobody holds it any more.
+                    (Err(_), _) => return Ended::Overdue,
+                },
+            }
+        };
+        let at_most = match how {
+            Drain::Close { linger, at_most } => {
+                phase.send_replace(Phase::Leaving);
+                sleep(linger.min(at_most)).await;
+                phase.send_replace(Phase::Closing);
+                at_most.saturating_sub(linger)
+            }
+            Drain::HandOver { at_most } => {
+                phase.send_replace(Phase::HandedOver);
+                at_most
+            }
+        };
+        let left = timeout(at_most, async {
+            tokio::select! {
+                ended = &mut serving.0 => match ended {
+                    Ok(()) => Ended::Drained,
+                    failed => Ended::Failed(reason("the listener", failed)),
+                },
+                ended = &mut driver.0 => {
+                    let _ = timeout(LAST_WORDS, &mut serving.0).await;
+                    Ended::Failed(reason("the driver", ended))
+                }
+            }
+        });
+        left.await.unwrap_or(Ended::Overdue)
+    }
+}
+
+impl Control {
+    /// Watches discovery at another address from now on. List and connections stay.
+    pub fn move_discovery(&self, to: SocketAddr) {
+        // An instance that has ended has nothing left to move; this holds for the other orders, too.
+        let _ = self.happenings.send(Happening::Order(Order::Discovery(to)));
+    }
+
+    /// Begins the end. A second call changes nothing.
+    pub fn drain(&self, how: Drain) {
+        self.drain.send_if_modified(|now| {
+            let first = now.is_none();
+            now.get_or_insert(how);
+            first
+        });
+    }
+
+    /// The list of upstreams as the instance has it. The receiver fails when the instance has ended.
+    pub fn list(&self) -> oneshot::Receiver<HostList> {
+        let (reply, list) = oneshot::channel();
+        let _ = self.happenings.send(Happening::Order(Order::List(reply)));
+        list
+    }
+
+    /// Has the driver panic, for the rig and for tests.
+    pub fn inject_panic(&self) {
+        let _ = self.happenings.send(Happening::Order(Order::Panic));
+    }
+
+    /// What is counted.
+    pub fn vitals(&self) -> &Vitals {
+        &self.vitals
+    }
+
+    /// The longest that a client of any class waits.
+    pub fn longest_deadline(&self) -> Duration {
+        self.longest
+    }
+}
+
+/// Answers for an instance that is down for a while: every sound request is refused, to come back after
+/// `retry_after` milliseconds, and every connection closed. Runs until dropped.
+pub async fn stand_in(settings: &SettingsObject, listener: Arc<TcpListener>, budgets: &Budgets, log: Log) {
+    let names = Names { classes: settings.classes(), tenants: settings.tenant_names() };
+    let refuse = Outlet::to(|message| {
+        if let FromClients::Arrived(arrival) = message {
+            // Its client may have gone.
+            let _ = arrival.reply.send(Final::Refused(STAND_IN_RETRY_MS));
+        }
+        true
+    });
+    // Leaving: it accepts, and every answer closes its connection.
+    let (_phase, phases) = watch::channel(Phase::Leaving);
+    let vitals = Arc::new(Vitals::default());
+    let front = Front::new(names, phases, refuse, budgets.clients.clone(), vitals, log);
+    front::serve(listener, Arc::new(front)).await;
+}
+
+/// Restarts are quicker than this but for one that has failed several times in a row.
+const STAND_IN_RETRY_MS: f64 = 500.0;
+
+/// A task that ends with its owner.
+struct Part(JoinHandle<()>);
+
+impl Drop for Part {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Why a part that should go on has ended.
+fn reason(part: &str, ended: Result<(), JoinError>) -> String {
+    match ended {
+        Ok(()) => format!("{part} has ended"),
+        Err(error) => match error.try_into_panic() {
+            Ok(panic) => {
+                let text = panic.downcast_ref::<String>().map(String::as_str);
+                let text = text.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("no message");
+                format!("{part} has panicked: {text}")
+            }
+            Err(error) => format!("{part} was ended: {error}"),
+        },
+    }
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -1,11 +1,18 @@
-//! One sidecar on real sockets, as a library. One thread; the driver alone owns the decision module, and
-//! everything else tells it what happened through a channel.
+//! One sidecar on real sockets, as a library: [`instance::Instance`] is the whole of it, and its owner hands it
+//! the listener and all that it may hold. The driver alone owns the decision module; everything else tells it
+//! what happened through a channel, in the messages of [`messages`].
 
-pub mod client;
+pub mod budget;
 pub mod config;
 pub mod counted;
 pub mod discovery;
 pub mod driver;
+pub mod front;
+pub mod headers;
+pub mod hosts;
+pub mod instance;
 pub mod log;
+pub mod messages;
 pub mod servers;
 pub mod upstream;
+pub mod vitals;
--- /dev/null
+++ b/crates/sidecar/src/messages.rs
@@ -0,0 +1,132 @@
+//! What the parts of a sidecar tell each other, as plain values. This file knows none of the parts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, StatusCode, Uri};
+use sagemast_decide::api::*;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+/// Bodies hold at most this much, both ways.
+pub const BODY_BYTES: usize = 64 << 10;
+
+/// Where a part tells what happened, without knowing who listens or what else they hear.
+pub struct Outlet<T>(Arc<dyn Fn(T) -> bool + Send + Sync>);
+
+impl<T> Clone for Outlet<T> {
+    fn clone(&self) -> Outlet<T> {
+        Outlet(self.0.clone())
+    }
+}
+
+impl<T: 'static> Outlet<T> {
+    /// Into a channel that carries other messages as well. Who sends bounds what waits there: a part tells of a
+    /// connection, an attempt or a watch only once it has ended or changed, and the number of those is bounded.
+    pub fn new<M: From<T> + Send + 'static>(channel: mpsc::UnboundedSender<M>) -> Outlet<T> {
+        Outlet(Arc::new(move |message| channel.send(message.into()).is_ok()))
+    }
+
+    /// To a function, which must not wait.
+    pub fn to(listener: impl Fn(T) -> bool + Send + Sync + 'static) -> Outlet<T> {
+        Outlet(Arc::new(listener))
+    }
+
+    /// Where nobody listens.
+    pub fn nowhere() -> Outlet<T> {
+        Outlet(Arc::new(|_| true))
+    }
+
+    /// Tells it. False when the listener has ended; the message is dropped then.
+    pub fn tell(&self, message: T) -> bool {
+        (self.0)(message)
+    }
+}
+
+/// A request as it goes on to upstreams.
+pub struct Forward {
+    /// Method.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub target: Uri,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// The body, unchanged.
+    pub body: Bytes,
+}
+
+/// A request for the driver.
+pub struct Arrival {
+    /// The id the module knows it by.
+    pub request: RequestId,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// The id that its client gave it.
+    pub id: Box<str>,
+    /// When its last byte was read.
+    pub at: Instant,
+    /// How long its client waits from then on.
+    pub time_left: Duration,
+    /// What goes on to upstreams.
+    pub forward: Forward,
+    /// Where its final answer goes.
+    pub reply: oneshot::Sender<Final>,
+}
+
+/// A final answer.
+#[derive(Debug)]
+pub enum Final {
+    /// An upstream's answer.
+    Served(HeaderMap, Bytes),
+    /// Trying again is harmless, best after this long.
+    Refused(Millis),
+    /// No promise.
+    Failed,
+    /// The client is at fault: it is told with this status.
+    Rejected(StatusCode),
+}
+
+/// What clients do.
+pub enum FromClients {
+    /// A request came in.
+    Arrived(Box<Arrival>),
+    /// The client of an open request went away.
+    Left(RequestId),
+}
+
+/// One attempt on its way.
+#[derive(Debug, Clone, Copy)]
+pub struct Flight {
+    /// The request.
+    pub request: RequestId,
+    /// Which of its sends.
+    pub attempt: AttemptNo,
+    /// Where to.
+    pub upstream: UpstreamId,
+    /// Which of the upstream's lives: connections do not outlast one.
+    pub life: u64,
+    /// When the attempt is given up.
+    pub until: Instant,
+}
+
+/// An upstream's answer, read whole.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// What an attempt came to.
+pub enum End {
+    /// It ended so, with the answer if one came.
+    Outcome(Outcome, Option<Answer>),
+    /// The idle connection had been closed and no byte was written to it: another may be used.
+    Stale,
+}
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -7,20 +7,19 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{HeaderMap, Request, Response, StatusCode, header};
+use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use sagemast_decide::api::*;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
+use crate::budget::Permit;
 use crate::counted::{Counted, Meter};
-use crate::driver::{Flight, Happening};
-use crate::log;
+use crate::log::Log;
+use crate::messages::{Answer, BODY_BYTES, End, Flight, Outlet};
 
-/// Bodies hold at most this much, both ways.
-pub const BODY_BYTES: usize = 64 << 10;
 /// Room for a head; hyper also reads bodies through it.
 const BUFFER_BYTES: usize = 32 << 10;
 /// Once an answer has begun, its bytes follow each other: it is small and made before it is sent. When none has
@@ -38,16 +37,12 @@
     pub used: bool,
     /// Since when it has carried nothing.
     pub idle_since: Instant,
-    _permit: OwnedSemaphorePermit,
+    _permit: Permit,
 }
 
 impl Connection {
     /// Connects by `until`.
-    pub async fn open(
-        dial: SocketAddr,
-        until: Instant,
-        permit: OwnedSemaphorePermit,
-    ) -> Result<Connection, String> {
+    pub async fn open(dial: SocketAddr, until: Instant, permit: Permit) -> Result<Connection, String> {
         let stream = timeout_at(until, TcpStream::connect(dial))
             .await
             .map_err(|_| "connecting took too long".to_owned())?
@@ -93,17 +88,6 @@
     }
 }
 
-/// An upstream's answer, read whole.
-#[derive(Debug)]
-pub struct Answer {
-    /// Its status.
-    pub status: StatusCode,
-    /// Its headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-}
-
 /// Why there is no answer.
 enum Broken {
     /// The request's last byte was never written: it has not run.
@@ -199,12 +183,49 @@
     }
 }
 
-/// What an attempt came to.
-pub enum End {
-    /// It ended so, with the answer if one came.
-    Outcome(Outcome, Option<Answer>),
-    /// The idle connection had been closed and no byte was written to it: another may be used.
-    Stale,
+/// What becomes of connections and of what they carry.
+pub enum FromUpstreams {
+    /// A connection for an attempt came up or did not.
+    Connected(Flight, Result<Box<Connection>, String>),
+    /// An attempt ended.
+    Ended {
+        /// Which.
+        flight: Flight,
+        /// How.
+        end: End,
+    },
+    /// A connection is free.
+    Idle {
+        /// To whom.
+        upstream: UpstreamId,
+        /// In which of its lives.
+        life: u64,
+        /// The connection.
+        connection: Box<Connection>,
+    },
+    /// A probe ended.
+    Probed {
+        /// Who was asked.
+        upstream: UpstreamId,
+        /// What came back.
+        answer: Option<Answer>,
+    },
+}
+
+/// Connects for an attempt, until `given_up` is dropped or used.
+pub async fn connect(
+    dial: SocketAddr,
+    by: Instant,
+    permit: Permit,
+    flight: Flight,
+    given_up: oneshot::Receiver<()>,
+    told: Outlet<FromUpstreams>,
+) {
+    let result = tokio::select! {
+        result = Connection::open(dial, by.min(flight.until), permit) => result,
+        _ = given_up => Err("given up".to_owned()),
+    };
+    told.tell(FromUpstreams::Connected(flight, result.map(Box::new)));
 }
 
 /// Carries one attempt over a connection until it ends, its time is up or `give_up` is dropped or used.
@@ -213,9 +234,15 @@
     request: Request<Full<Bytes>>,
     body_len: usize,
     flight: Flight,
-    give_up: oneshot::Receiver<()>,
-    happenings: mpsc::UnboundedSender<Happening>,
+    mut give_up: oneshot::Receiver<()>,
+    log: Log,
+    told: Outlet<FromUpstreams>,
 ) {
+    // It may have been given up, or the driver may have ended, before this task had its first turn.
+    if !matches!(give_up.try_recv(), Err(oneshot::error::TryRecvError::Empty)) {
+        told.tell(FromUpstreams::Ended { flight, end: End::Outcome(Outcome::NotSent, None) });
+        return give_back(Some(connection), flight.upstream, flight.life, &told);
+    }
     let meter = connection.meter.clone();
     let before = meter.written();
     let complete_at = before + least_size(&request, body_len);
@@ -229,12 +256,12 @@
                 Err(Broken::Unsent) => (End::Outcome(Outcome::Unreachable, None), false),
                 Err(Broken::Cut) => (End::Outcome(Outcome::Reset, None), false),
                 Err(Broken::Unfit(reason)) => {
-                    log::line(format!("upstream {}: {reason}", flight.upstream.0));
+                    log.line(format!("upstream {}: {reason}", flight.upstream.0));
                     (End::Outcome(Outcome::Error, None), false)
                 }
             },
             () = stalled(&meter) => {
-                log::line(format!("upstream {}: an answer that does not end", flight.upstream.0));
+                log.line(format!("upstream {}: an answer that does not end", flight.upstream.0));
                 (End::Outcome(Outcome::Error, None), false)
             }
             _ = give_up => (End::Outcome(Outcome::Cancelled, None), false),
@@ -242,8 +269,8 @@
         }
     };
     if keep {
-        let _ = happenings.send(Happening::Ended { flight, end });
-        give_back(connection.settle().await, flight.upstream, flight.life, &happenings);
+        told.tell(FromUpstreams::Ended { flight, end });
+        give_back(connection.settle().await, flight.upstream, flight.life, &told);
         return;
     }
     // Closed before the driver hears of it: the next attempt must not go out while this one may still run.
@@ -255,7 +282,7 @@
         }
         end => end,
     };
-    let _ = happenings.send(Happening::Ended { flight, end });
+    told.tell(FromUpstreams::Ended { flight, end });
 }
 
 /// Probes an upstream over an idle connection, or a new one.
@@ -265,7 +292,7 @@
     upstream: UpstreamId,
     life: u64,
     until: Instant,
-    happenings: mpsc::UnboundedSender<Happening>,
+    told: Outlet<FromUpstreams>,
 ) {
     let opened = match source {
         Source::Idle(connection) => Ok(*connection),
@@ -277,22 +304,17 @@
         let result = timeout_at(until, exchange(&mut connection.sender, request, &meter, 0)).await;
         if let Ok(Ok(got)) = result {
             answer = Some(got);
-            let _ = happenings.send(Happening::Probed { upstream, answer });
-            return give_back(connection.settle().await, upstream, life, &happenings);
+            told.tell(FromUpstreams::Probed { upstream, answer });
+            return give_back(connection.settle().await, upstream, life, &told);
         }
         connection.close().await;
     }
-    let _ = happenings.send(Happening::Probed { upstream, answer });
+    told.tell(FromUpstreams::Probed { upstream, answer });
 }
 
-fn give_back(
-    connection: Option<Connection>,
-    upstream: UpstreamId,
-    life: u64,
-    happenings: &mpsc::UnboundedSender<Happening>,
-) {
+fn give_back(connection: Option<Connection>, upstream: UpstreamId, life: u64, told: &Outlet<FromUpstreams>) {
     if let Some(connection) = connection {
-        let _ = happenings.send(Happening::Idle { upstream, life, connection: Box::new(connection) });
+        told.tell(FromUpstreams::Idle { upstream, life, connection: Box::new(connection) });
     }
 }
 
@@ -301,7 +323,7 @@
     /// One that is open.
     Idle(Box<Connection>),
     /// A new one to this address, by this time.
-    Dial(SocketAddr, Instant, OwnedSemaphorePermit),
+    Dial(SocketAddr, Instant, Permit),
 }
 
 /// The idle connections to one upstream, the latest used last.
@@ -347,7 +369,9 @@
     pub fn clear(&mut self) {
         self.idle.clear();
     }
-}
 
-/// A new connection's permit goes with it; shared by all upstreams.
-pub type Permits = Arc<tokio::sync::Semaphore>;
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.idle.is_empty()
+    }
+}
