Keep cold servers to an amount of work as well, split among a told number of sidecars

Need: instances of one daemon may start in the same millisecond beside a server that has just started. The chance for each request lets a tenth of any rush through, and the number of sidecars was read and never used.

Event::Sidecars tells the module the number while it runs. A cold server's allowance (work in milliseconds, from its capacity and warmth) is split evenly; the smaller of chance and amount admits. A part that never comes to a whole request is a chance of one, or hundreds of sidecars would save up one each and send them together.

Weighed: settings anew (forgets all that was learnt), one bucket for the process (decision state shared between instances), an event (taken).

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -281,6 +281,9 @@
     },
     /// News from discovery.
     Listed(ListNews),
+    /// How many sidecars there are from now on, this one included: the allowance of cold servers is split
+    /// among them. Told before more begin and after some have ended.
+    Sidecars(u32),
     /// A timer set with [`Action::WakeAt`] came due.
     Woke(u64),
 }
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -72,6 +72,10 @@
 const EJECT_FOR: [Millis; 2] = [1_000.0, 8_000.0];
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
+/// All sidecars together send it work at this share of its allowance, however many requests come,
+const COLD_RATE: f64 = 0.4;
+/// and may have saved up this share of what the allowance comes to in one window of the rule.
+const COLD_SAVED: f64 = 0.25;
 /// From so many kinds of machine on, those that no server is of are forgotten.
 const KINDS: usize = 64;
 /// Discovery is asked within this share of the time in which it must be; doubles with each failure.
@@ -118,6 +122,7 @@
             Event::Abandoned(request) => self.abandoned(request, out),
             Event::Probed { upstream, answered, report } => self.probed(upstream, answered, report, out),
             Event::Listed(news) => self.listed(news, out),
+            Event::Sidecars(count) => self.settings.sidecars = count,
             Event::Woke(0) if std::mem::take(&mut self.seen.ask_pending) => out.push(Action::Subscribe),
             Event::Woke(token) => self.resume(token, out),
         }
@@ -154,7 +159,7 @@
         let class = &mut self.seen.service[held.class.0];
         class.refused += SMOOTH_ALL * (refused - class.refused);
         let by_use = chosen.map(|[a, b]| if b.projected < a.projected { [b, a] } else { [a, b] });
-        match by_use.into_iter().flatten().find(|c| self.admits(c)) {
+        match by_use.into_iter().flatten().find(|c| self.admits(c, held.class)) {
             Some(chosen) => self.send(request, chosen, candidates.len() > 1, out),
             None => self.give_up(request, out),
         }
@@ -163,10 +168,33 @@
     /// Whether a server may be sent one more while it is cold. An equal part of its budget is less than one
     /// request for each of many sidecars, so chance decides: a server is drawn for at most two of `n`
     /// requests, and chance leaves it of those what its budget allows, for all sidecars together.
-    fn admits(&mut self, to: &Candidate) -> bool {
-        let share = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth / 2.0 * to.odds;
+    ///
+    /// A share of requests bounds nothing in a rush, as when many sidecars start at once beside a server that
+    /// has just started. So what goes to a cold one is kept to an amount as well: an equal part of its
+    /// allowance for each sidecar. A part that never comes to one request is a chance of one instead, spent
+    /// whether or not it wins.
+    fn admits(&mut self, to: &Candidate, class: ClassId) -> bool {
+        if to.warmth >= 1.0 {
+            return true;
+        }
+        let Some(kappa) = self.upstreams.get(&to.id).map(|upstream| self.kappa(upstream)) else {
+            return false;
+        };
+        let (now, safety, cost) = (self.now, &self.settings.safety, self.seen.service[class.0].time.max(1.0));
+        let multiple = safety.fall_multiple * to.warmth;
         // Where there is no room elsewhere, more requests come than servers can carry, and more to this one.
-        to.warmth >= 1.0 || self.rng.rand_float() < share * (1.0 - self.seen.refused)
+        let share = COLD_MARGIN * multiple / 2.0 * to.odds * (1.0 - self.seen.refused);
+        let allowance = multiple * kappa / f64::from(self.settings.sidecars.max(1));
+        let Some(upstream) = self.upstreams.get_mut(&to.id) else { return false };
+        let earned = upstream.cold_credit + COLD_RATE * allowance * (now - upstream.cold_at);
+        let most = COLD_SAVED * allowance * safety.fall;
+        let credit = earned.min(most);
+        let whole = most >= cost;
+        let chance = share.min(if whole { (credit / cost).floor() } else { credit / cost });
+        let won = self.rng.rand_float() < chance;
+        let spent = if whole { f64::from(u8::from(won)) } else { chance };
+        (upstream.cold_credit, upstream.cold_at) = (credit - spent * cost, now);
+        won
     }
 
     /// Waits for the probes of a pair. Timers are numbered in 63 bits: two requests may share one.
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -189,6 +189,9 @@
     pub answered_at: Millis,
     pub failure_rate: f64,
     pub health: Health,
+    /// Work in milliseconds that it may yet be sent while it is cold, as of then.
+    pub cold_credit: f64,
+    pub cold_at: Millis,
 }
 
 /// A server as one request sees it.
@@ -235,6 +238,8 @@
             answered_at: f64::NEG_INFINITY,
             failure_rate: 0.0,
             health: Health::Ready,
+            cold_credit: 0.0,
+            cold_at: f64::NEG_INFINITY,
         }
     }
 
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -240,6 +240,50 @@
     }
 }
 
+/// Instances that start in the same millisecond beside the only server, which has just started too, and are asked
+/// for many times what it can do when warm. A chance for each request alone let a tenth of any rush through.
+#[test]
+fn a_rush_at_the_start_does_not_push_a_cold_server_over() {
+    const WORK: Millis = 30.0;
+    for (sidecars, told_late) in [(2, false), (50, false), (50, true), (300, false)] {
+        for overload in [2.0, 20.0] {
+            let mut settings = settings();
+            // Where the number is told only by the event, before the first request.
+            settings.sidecars = if told_late { 1 } else { sidecars };
+            settings.limits.probes = false;
+            let (fall, multiple) = (settings.safety.fall, settings.safety.fall_multiple);
+            let start = 1_000.0;
+            let server = Listing { started: Some(start), ..listing(1) };
+            let mut sends: Vec<Millis> = Vec::new();
+            for sidecar in 0..sidecars {
+                let mut stage = Stage::seeded(settings.clone(), vec![server.clone()], u64::from(sidecar));
+                stage.event(Event::Sidecars(sidecars));
+                let gap = f64::from(sidecars) * WORK / overload;
+                while stage.now < start + 3.0 * fall {
+                    let (request, actions) = stage.arrive(ONCE);
+                    if sent_to(&actions).is_some() {
+                        sends.push(stage.now);
+                        // Cold, it takes longer; alone, for there are few.
+                        let warmth = 0.2 + 0.8 * (stage.now - start) / settings.safety.warm_up;
+                        stage.finish(request, 0, UpstreamId(1), Outcome::Ok, WORK / warmth);
+                    }
+                    stage.now += gap;
+                }
+            }
+            assert!(sends.len() > 10, "{sidecars} sidecars: it gets work all the same, not {}", sends.len());
+            for from in &sends {
+                let sent = sends.iter().filter(|t| (*from..from + fall).contains(*t)).count() as f64 * WORK;
+                let warmth = 0.2 + 0.8 * (from - start) / settings.safety.warm_up;
+                let budget = multiple * warmth * fall;
+                assert!(
+                    sent <= budget,
+                    "{sidecars} sidecars, {overload} times: {sent} ms of {budget} in a window"
+                );
+            }
+        }
+    }
+}
+
 #[test]
 fn a_restart_under_the_same_id_is_cold_again() {
     let mut stage = Stage::new(settings(), vec![listing(1)]);
