Fleet plan: desired and observed state of each instance, events in, steps out

Need: a daemon must start, change, drain and restart each of many instances on its own, whatever order its events come in. The plan is pure and level-triggered: after each event it compares what is wanted with what is there. An instance can be started without accepting (standby) and a closing listener can still be left to a successor.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -55,6 +55,7 @@
         budgets: Budgets::of(config.limits.connections()),
         log: log.clone(),
         listening: Outlet::nowhere(),
+        standby: false,
         settings: config.settings,
     });
     let mut running = tokio::spawn(instance.run());
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,5 @@
+//! Many instances of the sidecar in one process. [`plan`] decides what is to be done, purely; everything else does
+//! it, or tells what came of it.
+
+pub mod ledger;
+pub mod plan;
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -8,7 +8,7 @@
 use crate::api::*;
 
 /// The settings object as it stands on the wire. Keys that are not listed here are passed over.
-#[derive(Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Config {
     classes: Vec<WireClass>,
     #[serde(default)]
@@ -32,7 +32,7 @@
     telemetry: Telemetry,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 struct WireClass {
     #[serde(default)]
     name: String,
@@ -49,7 +49,7 @@
     window: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum WireEffect {
     Repeatable,
@@ -57,7 +57,7 @@
     Once,
 }
 
-#[derive(Deserialize, Default, Clone, Copy)]
+#[derive(Debug, PartialEq, Deserialize, Default, Clone, Copy)]
 #[serde(rename_all = "snake_case")]
 enum WireScope {
     All,
@@ -66,7 +66,7 @@
     Cell,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 struct WireTenant {
     #[serde(default)]
     name: String,
@@ -74,7 +74,7 @@
     quota_per_s: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 struct Allowed {
     max_attempts: u32,
     #[serde(default)]
@@ -101,7 +101,7 @@
     250.0
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 struct Invariants {
     cold_share: f64,
     warm_up: f64,
@@ -111,14 +111,14 @@
     must_ask_in: f64,
 }
 
-#[derive(Deserialize, Clone, Copy, PartialEq)]
+#[derive(Debug, Deserialize, Clone, Copy, PartialEq)]
 #[serde(rename_all = "snake_case")]
 enum Membership {
     Automatic,
     Subscribe,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 struct Telemetry {
     #[serde(default)]
     how: String,
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -44,6 +44,8 @@
 pub enum Order {
     /// Watch discovery here from now on; the list and the connections stay.
     Discovery(SocketAddr),
+    /// There are so many sidecars from now on, this one included.
+    Sidecars(u32),
     /// Hand over the list of upstreams as it stands.
     List(oneshot::Sender<HostList>),
     /// Fail, as a fault in the code would make it fail. Only the rig and tests ask for this.
@@ -308,6 +310,7 @@
                 self.discovery = address;
                 self.watch();
             }
+            Happening::Order(Order::Sidecars(count)) => self.event(Event::Sidecars(count)),
             Happening::Order(Order::List(reply)) => {
                 // Who asked may have gone.
                 let _ = reply.send(self.servers.list(self.seq));
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -54,6 +54,8 @@
 /// How far the end has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
+    /// Not accepting yet: whoever comes is for a predecessor that listens on the same socket.
+    Standby,
     /// Serving.
     Open,
     /// The end has begun: still accepting, but every answer closes its connection.
@@ -156,7 +158,7 @@
     loop {
         let now = *phase.borrow_and_update();
         let closing = now >= Phase::Closing;
-        let accepting = now < Phase::HandedOver;
+        let accepting = (Phase::Open..Phase::HandedOver).contains(&now);
         let room = front.connections.held() < front.connections.limit() + CLOSING;
         tokio::select! {
             biased;
@@ -187,7 +189,7 @@
             // All are busy, or closing already.
             () = sleep(ACCEPT_BACK_OFF), if !room && accepting => drop(slots.make_room()),
             () = std::future::ready(()), if closing && connections.is_empty() => return,
-            changed = phase.changed(), if accepting => if changed.is_err() { return },
+            changed = phase.changed(), if now < Phase::HandedOver => if changed.is_err() { return },
         }
     }
 }
--- a/crates/sidecar/src/instance.rs
+++ b/crates/sidecar/src/instance.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinError, JoinHandle};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::budget::Budgets;
 use crate::driver::{self, Driver, Happening, Order, Told};
@@ -42,6 +42,16 @@
     pub log: Log,
     /// Whom it tells how it fares.
     pub listening: Outlet<Told>,
+    /// Whether it accepts nothing until [`Control::open`], since a predecessor still does.
+    pub standby: bool,
+}
+
+/// What the owner wants of it, in the order in which it may change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wish {
+    Standby,
+    Open,
+    Drain(Drain),
 }
 
 /// How an instance is to end.
@@ -79,14 +89,14 @@
     listener: Arc<TcpListener>,
     known: Option<HostList>,
     phase: watch::Sender<Phase>,
-    drain: watch::Receiver<Option<Drain>>,
+    wish: watch::Receiver<Wish>,
 }
 
 /// The owner's hold on an instance. All calls return at once.
 #[derive(Clone)]
 pub struct Control {
     happenings: mpsc::UnboundedSender<Happening>,
-    drain: Arc<watch::Sender<Option<Drain>>>,
+    wish: Arc<watch::Sender<Wish>>,
     vitals: Arc<Vitals>,
     longest: Duration,
 }
@@ -94,7 +104,7 @@
 impl Instance {
     /// An instance and the hold on it.
     pub fn new(parts: Parts) -> (Instance, Control) {
-        let Parts { settings, seed, discovery, known, listener, budgets, log, listening } = parts;
+        let Parts { settings, seed, discovery, known, listener, budgets, log, listening, standby } = parts;
         let vitals = Arc::new(Vitals::default());
         let names = Names { classes: settings.classes(), tenants: settings.tenant_names() };
         let longest = Duration::try_from_secs_f64(settings.longest_deadline_ms() / 1e3).unwrap_or_default();
@@ -108,23 +118,24 @@
             log: log.clone(),
             listener: listening,
         });
-        let (phase, phases) = watch::channel(Phase::Open);
+        let (phase, phases) = watch::channel(if standby { Phase::Standby } else { Phase::Open });
         let told = Outlet::new(happenings.clone());
         let front = Arc::new(Front::new(names, phases, told, clients, vitals.clone(), log));
-        let (drain, drains) = watch::channel(None);
-        let instance = Instance { driver, front, listener, known, phase, drain: drains };
-        (instance, Control { happenings, drain: Arc::new(drain), vitals, longest })
+        let (wish, wishes) = watch::channel(if standby { Wish::Standby } else { Wish::Open });
+        let instance = Instance { driver, front, listener, known, phase, wish: wishes };
+        (instance, Control { happenings, wish: Arc::new(wish), vitals, longest })
     }
 
     /// Runs until it has drained or failed. When this future is dropped, everything that belongs to the instance
     /// ends with it: connections are closed as they are.
     pub async fn run(self) -> Ended {
-        let Instance { driver, front, listener, known, phase, mut drain } = self;
+        let Instance { driver, front, listener, known, phase, mut wish } = self;
         let mut driver = Part(tokio::spawn(driver.run(known)));
         let mut serving = Part(tokio::spawn(front::serve(listener, front)));
-        let how = loop {
+        // When the present stage of a drain is over, and when all of it must be.
+        let (mut linger, mut overdue): (Option<Instant>, Option<Instant>) = (None, None);
+        loop {
             tokio::select! {
-                // Neither ends by itself.
                 ended = &mut driver.0 => {
                     // Its open requests have lost their replies: they are answered as failed. Who is still to be
                     // accepted is for the successor.
@@ -132,40 +143,44 @@
                     let _ = timeout(LAST_WORDS, &mut serving.0).await;
                     return Ended::Failed(reason("the driver", ended));
                 }
-                ended = &mut serving.0 => return Ended::Failed(reason("the listener", ended)),
-                changed = drain.changed() => match (changed, *drain.borrow_and_update()) {
-                    (Ok(()), Some(how)) => break how,
-                    (Ok(()), None) => {}
-                    // Nobody holds it any more.
-                    (Err(_), _) => return Ended::Overdue,
-                },
-            }
-        };
-        let at_most = match how {
-            Drain::Close { linger, at_most } => {
-                phase.send_replace(Phase::Leaving);
-                sleep(linger.min(at_most)).await;
-                phase.send_replace(Phase::Closing);
-                at_most.saturating_sub(linger)
-            }
-            Drain::HandOver { at_most } => {
-                phase.send_replace(Phase::HandedOver);
-                at_most
-            }
-        };
-        let left = timeout(at_most, async {
-            tokio::select! {
-                ended = &mut serving.0 => match ended {
-                    Ok(()) => Ended::Drained,
-                    failed => Ended::Failed(reason("the listener", failed)),
+                ended = &mut serving.0 => return match ended {
+                    Ok(()) if overdue.is_some() => Ended::Drained,
+                    ended => Ended::Failed(reason("the listener", ended)),
                 },
-                ended = &mut driver.0 => {
-                    let _ = timeout(LAST_WORDS, &mut serving.0).await;
-                    Ended::Failed(reason("the driver", ended))
+                changed = wish.changed() => {
+                    let now = Instant::now();
+                    match (changed, *wish.borrow_and_update()) {
+                        // Nobody holds it any more.
+                        (Err(_), _) => return Ended::Overdue,
+                        (Ok(()), Wish::Standby) => {}
+                        (Ok(()), Wish::Open) => {
+                            phase.send_replace(Phase::Open);
+                        }
+                        (Ok(()), Wish::Drain(Drain::Close { linger: still, at_most })) => {
+                            phase.send_replace(Phase::Leaving);
+                            (linger, overdue) = (Some(now + still.min(at_most)), Some(now + at_most));
+                        }
+                        (Ok(()), Wish::Drain(Drain::HandOver { at_most })) => {
+                            phase.send_replace(Phase::HandedOver);
+                            (linger, overdue) = (None, Some(overdue.unwrap_or(now + at_most)));
+                        }
+                    }
+                }
+                () = until(linger) => {
+                    linger = None;
+                    phase.send_replace(Phase::Closing);
                 }
+                () = until(overdue) => return Ended::Overdue,
             }
-        });
-        left.await.unwrap_or(Ended::Overdue)
+        }
+    }
+}
+
+/// Comes back at that time; never where there is none.
+async fn until(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => std::future::pending().await,
     }
 }
 
@@ -176,15 +191,38 @@
         let _ = self.happenings.send(Happening::Order(Order::Discovery(to)));
     }
 
-    /// Begins the end. A second call changes nothing.
+    /// Accepts clients from now on, unless the end has begun.
+    pub fn open(&self) {
+        self.wish.send_if_modified(|now| {
+            let standby = *now == Wish::Standby;
+            if standby {
+                *now = Wish::Open;
+            }
+            standby
+        });
+    }
+
+    /// Begins the end. Called again it changes nothing, but that a drain which closes the listener may become one
+    /// that leaves it to a successor.
     pub fn drain(&self, how: Drain) {
-        self.drain.send_if_modified(|now| {
-            let first = now.is_none();
-            now.get_or_insert(how);
-            first
+        self.wish.send_if_modified(|now| {
+            let taken = match (*now, how) {
+                (Wish::Standby | Wish::Open, _) => true,
+                (Wish::Drain(Drain::Close { .. }), Drain::HandOver { .. }) => true,
+                (Wish::Drain(_), _) => false,
+            };
+            if taken {
+                *now = Wish::Drain(how);
+            }
+            taken
         });
     }
 
+    /// Tells the module how many sidecars there are from now on.
+    pub fn set_sidecars(&self, count: u32) {
+        let _ = self.happenings.send(Happening::Order(Order::Sidecars(count)));
+    }
+
     /// The list of upstreams as the instance has it. The receiver fails when the instance has ended.
     pub fn list(&self) -> oneshot::Receiver<HostList> {
         let (reply, list) = oneshot::channel();
