--- a/crates/daemon/src/plan.rs
+++ b/crates/daemon/src/plan.rs
@@ -7,7 +7,6 @@
 //! come in any order and be lost but for the end of a generation.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::ledger::{Demand, Ledger};
@@ -40,9 +39,11 @@
 pub trait Spec: Clone + PartialEq {
     /// Those that share upstreams.
     type Group: Clone + Ord;
+    /// Where clients connect: two generations at the same place listen on the same socket.
+    type Place: PartialEq;
 
     /// Where clients connect.
-    fn address(&self) -> SocketAddr;
+    fn place(&self) -> Self::Place;
     /// Whose upstreams it shares.
     fn group(&self) -> Self::Group;
     /// How many sidecars outside this daemon use the same upstreams.
@@ -622,8 +623,8 @@
         if let Some(next) = run.adjusting.filter(|next| next.group() != run.spec.group()) {
             self.lower(&next.group());
         }
-        let address = run.spec.address();
-        let how = if self.listens(address) { Leave::HandOver } else { Leave::Close };
+        let place = run.spec.place();
+        let how = if self.listens(&place) { Leave::HandOver } else { Leave::Close };
         steps.steps.push(Step::Drain(run.generation, how));
         if let Some(slot) = self.slots.get_mut(name) {
             slot.draining.push(Leaving { generation: run.generation, spec: run.spec, how });
@@ -631,8 +632,8 @@
     }
 
     /// Whether a generation that is not on its way out listens there, or is about to.
-    fn listens(&self, address: SocketAddr) -> bool {
-        self.slots.values().flat_map(Slot::runs).any(|run| run.spec.address() == address)
+    fn listens(&self, place: &S::Place) -> bool {
+        self.slots.values().flat_map(Slot::runs).any(|run| run.spec.place() == *place)
     }
 
     /// A generation could not be started, or has ended without having been told to.
@@ -915,7 +916,7 @@
         }
         self.last += 1;
         let generation = Generation(self.last);
-        let address = wanted.address();
+        let place = wanted.place();
         let standby = !first || self.shut;
         let after = slot.running.as_ref().map(|run| run.generation);
         self.names.insert(generation, name.clone());
@@ -929,7 +930,7 @@
         steps.starts.push(Step::Start { name, generation, spec: wanted, standby, sidecars: 0, after });
         // Those on their way out from this address leave the listener to the new generation.
         for leaving in self.slots.values_mut().flat_map(|slot| &mut slot.draining) {
-            if leaving.spec.address() == address && leaving.how == Leave::Close {
+            if leaving.spec.place() == place && leaving.how == Leave::Close {
                 leaving.how = Leave::HandOver;
                 steps.starts.push(Step::Drain(leaving.generation, Leave::HandOver));
             }
--- a/crates/daemon/tests/plan.rs
+++ b/crates/daemon/tests/plan.rs
@@ -3,7 +3,6 @@
 //! the fleet is as wanted or the failure is told.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -22,9 +21,10 @@
 
 impl Spec for Settings {
     type Group = u8;
+    type Place = u16;
 
-    fn address(&self) -> SocketAddr {
-        ([127, 0, 0, 1], self.port).into()
+    fn place(&self) -> u16 {
+        self.port
     }
 
     fn group(&self) -> u8 {
@@ -96,7 +96,7 @@
             self.carry_out(step);
         }
         for life in self.lives.values().filter(|life| life.closes) {
-            let heir = self.lives.values().find(|l| !l.draining && l.spec.address() == life.spec.address());
+            let heir = self.lives.values().find(|l| !l.draining && l.spec.place() == life.spec.place());
             assert!(heir.is_none(), "{} closes a listener that another serves", life.name);
         }
         assert!(self.plan.taken().memory_mb <= BUDGET.memory_mb, "over budget");
@@ -140,11 +140,11 @@
                 life.adjusting = Some(spec);
             }
             Step::Drain(generation, how) => {
-                let address = self.life(generation).spec.address();
+                let place = self.life(generation).spec.place();
                 let life = self.life(generation);
                 (life.draining, life.closes) = (true, how == Leave::Close);
                 if how == Leave::HandOver {
-                    let shared = self.lives.values().any(|l| !l.draining && l.spec.address() == address);
+                    let shared = self.lives.values().any(|l| !l.draining && l.spec.place() == place);
                     assert!(shared, "left to nobody");
                 }
             }
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -157,31 +157,45 @@
         }
     }
 
-    /// Tells what no sidecar could work with; the simulator's own settings always pass.
-    pub fn check(&self) -> Result<(), String> {
-        let positive = |name: &str, value: f64| {
-            let sound = value.is_finite() && value > 0.0 && value < 1e9;
-            if sound { Ok(()) } else { Err(format!("{name} is {value}")) }
-        };
+    /// Tells all that no sidecar could work with, each as key and fault; the simulator's own settings always pass.
+    pub fn faults(&self) -> Vec<(String, String)> {
+        let mut faults = Vec::new();
+        let mut fault = |key: String, text: String| faults.push((key, text));
         if self.classes.is_empty() {
-            return Err("there are no classes".to_owned());
+            fault("classes".to_owned(), "there are none".to_owned());
         }
-        for class in &self.classes {
+        let sound = |value: f64| value.is_finite() && value > 0.0 && value < 1e9;
+        for (number, class) in self.classes.iter().enumerate() {
             if class.name.is_empty() {
-                return Err("a class has no name".to_owned());
+                fault(format!("classes[{number}].name"), "a class has no name".to_owned());
+            }
+            if self.classes[..number].iter().any(|other| other.name == class.name) {
+                fault(format!("classes[{number}].name"), format!("two classes are named {:?}", class.name));
+            }
+            let figures =
+                [("aim", class.aim), ("hard_limit", class.hard_limit), ("importance", class.importance)];
+            for (key, value) in figures.into_iter().filter(|(_, value)| !sound(*value)) {
+                fault(
+                    format!("classes[{number}].{key}"),
+                    format!("it is {value}; a positive number is needed"),
+                );
             }
-            positive("aim", class.aim)?;
-            positive("hard_limit", class.hard_limit)?;
-            positive("importance", class.importance)?;
         }
         if self.allowed.max_attempts == 0 {
-            return Err("max_attempts is 0".to_owned());
+            fault("allowed.max_attempts".to_owned(), "it is 0; at least 1 is needed".to_owned());
         }
-        positive("keepalive", self.allowed.keepalive)?;
-        positive("connect_timeout", self.allowed.connect_timeout)?;
-        positive("cold_share", self.invariants.cold_share)?;
-        positive("warm_up", self.invariants.warm_up)?;
-        positive("fall_multiple", self.invariants.fall_multiple)
+        let figures = [
+            ("allowed.keepalive", self.allowed.keepalive),
+            ("allowed.connect_timeout", self.allowed.connect_timeout),
+            ("invariants.cold_share", self.invariants.cold_share),
+            ("invariants.warm_up", self.invariants.warm_up),
+            ("invariants.fall_multiple", self.invariants.fall_multiple),
+            ("invariants.fall", self.invariants.fall),
+        ];
+        for (key, value) in figures.into_iter().filter(|(_, value)| !sound(*value)) {
+            fault(key.to_owned(), format!("it is {value}; a positive number is needed"));
+        }
+        faults
     }
 
     /// Names and effects of the classes, by class id.
@@ -189,11 +203,6 @@
         self.classes.iter().map(|class| (class.name.clone(), class.class().effect)).collect()
     }
 
-    /// Names of the classes, by class id.
-    pub fn class_names(&self) -> impl Iterator<Item = &str> {
-        self.classes.iter().map(|class| class.name.as_str())
-    }
-
     /// Names of the tenants, by tenant id.
     pub fn tenant_names(&self) -> Vec<String> {
         self.tenants.iter().map(|tenant| tenant.name.clone()).collect()
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -1,6 +1,5 @@
 //! What the sidecar is told at start: the file named by `ROUTER_CONFIG`, checked before anything runs.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use anyhow::{Context, Result, bail};
@@ -56,8 +55,13 @@
 impl Limits {
     /// How many connections there may be on each side, so that neither descriptors nor memory run out.
     pub fn connections(&self) -> usize {
+        self.connections_beside(OWN_SOCKETS)
+    }
+
+    /// The same where so many descriptors are for other things.
+    pub fn connections_beside(&self, own: usize) -> usize {
         let by_memory = self.memory_mb.saturating_mul(1024) / CONNECTION_KIB;
-        (self.sockets.saturating_sub(OWN_SOCKETS) / 2).min(by_memory).max(1)
+        (self.sockets.saturating_sub(own) / 2).min(by_memory).max(1)
     }
 }
 
@@ -83,10 +87,8 @@
     /// Reads and checks the text of a configuration.
     pub fn parse(text: &[u8]) -> Result<Config> {
         let config: Config = serde_json::from_slice(text)?;
-        config.settings.check().map_err(anyhow::Error::msg)?;
-        let mut seen = HashSet::new();
-        if let Some(double) = config.settings.class_names().find(|name| !seen.insert(*name)) {
-            bail!("two classes are named {double:?}");
+        if let Some((key, fault)) = config.settings.faults().first() {
+            bail!("settings.{key}: {fault}");
         }
         if config.limits.sockets < MIN_SOCKETS {
             bail!("limits.sockets is {}; at least {MIN_SOCKETS} are needed", config.limits.sockets);
@@ -96,11 +98,16 @@
 
     /// The seed as a number; one that is not in hexadecimal digits still makes a seed of its own.
     pub fn seed(&self) -> u64 {
-        u64::from_str_radix(&self.seed, 16)
-            .unwrap_or_else(|_| self.seed.bytes().fold(7, |sum, b| sum.wrapping_mul(31) + u64::from(b)))
+        seed_of(&self.seed)
     }
 }
 
+/// A seed from its text.
+pub fn seed_of(text: &str) -> u64 {
+    u64::from_str_radix(text, 16)
+        .unwrap_or_else(|_| text.bytes().fold(7, |sum, b| sum.wrapping_mul(31) + u64::from(b)))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
