--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,98 +1,95 @@
-//! The sidecar: one instance on the main thread, as the platform starts it.
+//! The program: without a subcommand the sidecar that the platform starts, with one a daemon, its client, and tools.
 
-use std::process::ExitCode;
-use std::sync::Arc;
-use std::time::Duration;
+mod ctl;
+mod sidecar;
 
-use anyhow::{Context, Result, bail};
-use tokio::signal::unix::{SignalKind, signal};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
 
-use sagemast_sidecar::budget::Budgets;
+use clap::{Parser, Subcommand};
+use sagemast_daemon::fleet_file;
+use sagemast_daemon::supervisor::{self, Options};
 use sagemast_sidecar::config::Config;
-use sagemast_sidecar::front;
-use sagemast_sidecar::instance::{Control, Drain, Ended, Instance, Parts};
 use sagemast_sidecar::log::Log;
-use sagemast_sidecar::messages::Outlet;
 
-/// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
-const STILL_COMING: Duration = Duration::from_millis(550);
-/// After the longest deadline and this, SIGKILL is close.
-const LAST_MARGIN: Duration = Duration::from_millis(640);
+/// A client-side load balancer: two random choices by projected utilisation. Without a subcommand it is one sidecar,
+/// configured by the file that ROUTER_CONFIG names.
+#[derive(Parser)]
+#[command(name = "sagemast", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Tell all that is wrong with a configuration: a fleet file (TOML) or a sidecar's (JSON).
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Run a fleet of instances in the foreground.
+    Daemon {
+        /// The fleet file.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Take over from the process at the other end of the standard input; `ctl upgrade` sets it.
+        #[arg(long, hide = true)]
+        take_over: bool,
+        /// Let `ctl fault` make it fail, for tests.
+        #[arg(long, hide = true)]
+        allow_faults: bool,
+    },
+    /// Ask or tell a running daemon.
+    Ctl(ctl::Arguments),
+}
 
 fn main() -> ExitCode {
     let log = Log::process();
-    match run(&log) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log.line(format!("{error:#}"));
-            ExitCode::FAILURE
+    // The platform's way pays for nothing that it does not use.
+    if std::env::args_os().len() <= 1 {
+        return done(sidecar::run(&log).map_err(|error| vec![format!("{error:#}")]), &log);
+    }
+    match Cli::parse().command {
+        None => done(sidecar::run(&log).map_err(|error| vec![format!("{error:#}")]), &log),
+        Some(Command::Check { file }) => check(&file),
+        Some(Command::Daemon { config, take_over, allow_faults }) => {
+            done(supervisor::run(Options { config, take_over, allow_faults }), &log)
         }
+        Some(Command::Ctl(arguments)) => ctl::run(arguments),
     }
 }
 
-fn run(log: &Log) -> Result<()> {
-    let config = Config::from_env()?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context("cannot start the runtime")?;
-    runtime.block_on(sidecar(config, log))
-}
-
-async fn sidecar(config: Config, log: &Log) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
-    // Unhandled it would end the program; so it is taken before anyone can know that the program runs.
-    let mut hangup = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
-    let listener = front::listen(config.listen)?;
-    let address = listener.local_addr().context("the listener has no address")?;
-    log.line(format!("listening on {address}"));
-    let (instance, control) = Instance::new(Parts {
-        seed: config.seed(),
-        discovery: config.discovery,
-        known: config.known,
-        listener: Arc::new(listener),
-        budgets: Budgets::of(config.limits.connections()),
-        log: log.clone(),
-        listening: Outlet::nowhere(),
-        standby: false,
-        settings: config.settings,
-    });
-    let mut running = tokio::spawn(instance.run());
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break log.line("SIGTERM: finishing what is held"),
-            _ = interrupt.recv() => break log.line("SIGINT: finishing what is held"),
-            _ = hangup.recv() => reload(address, &control, log),
-            // Without it nothing is answered: better to be started anew.
-            ended = &mut running => match ended {
-                Ok(Ended::Failed(reason)) => bail!("{reason}"),
-                ended => bail!("the instance has ended: {ended:?}"),
-            },
-        }
-    }
-    let at_most = control.longest_deadline() + LAST_MARGIN;
-    control.drain(Drain::Close { linger: STILL_COMING, at_most });
-    match running.await.context("the instance has failed")? {
-        Ended::Drained => Ok(()),
-        Ended::Overdue => {
-            log.line("some clients have not let go in time");
-            Ok(())
+fn done(result: Result<(), Vec<String>>, log: &Log) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(lines) => {
+            lines.iter().for_each(|line| log.line(line));
+            ExitCode::FAILURE
         }
-        Ended::Failed(reason) => bail!("{reason}"),
     }
 }
 
-/// Reads the configuration again. One that is not sound changes nothing.
-fn reload(listening: std::net::SocketAddr, control: &Control, log: &Log) {
-    match Config::from_env() {
-        Ok(config) => {
-            log.line(format!("SIGHUP: discovery is at {}", config.discovery));
-            if config.listen.port() != 0 && config.listen != listening {
-                log.line(format!("SIGHUP: listening on {} takes a restart", config.listen));
+/// Prints every fault, a line each, or that there is none.
+fn check(file: &Path) -> ExitCode {
+    let faults: Vec<String> = if file.extension().is_some_and(|ending| ending == "json") {
+        let text = std::fs::read(file).map_err(|error| vec![format!("cannot be read: {error}")]);
+        let faults = text.and_then(|text| Config::faults(&text).map_or_else(|| Ok(()), Err));
+        let shown = file.display();
+        faults.err().into_iter().flatten().map(|fault| format!("{shown}: {fault}")).collect()
+    } else {
+        match fleet_file::load(file) {
+            Ok(fleet) => {
+                println!("{}: sound, {} instances", file.display(), fleet.instances.len());
+                return ExitCode::SUCCESS;
             }
-            control.move_discovery(config.discovery);
+            Err(faults) => faults.iter().map(ToString::to_string).collect(),
         }
-        Err(error) => log.line(format!("SIGHUP: the old configuration stays: {error:#}")),
+    };
+    if faults.is_empty() {
+        println!("{}: sound", file.display());
+        return ExitCode::SUCCESS;
     }
+    faults.iter().for_each(|fault| println!("{fault}"));
+    ExitCode::FAILURE
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,16 @@
 //! it, or tells what came of it.
 
 pub mod config;
+pub mod control;
 pub mod fleet_file;
+pub mod frames;
+pub mod handover;
 pub mod ledger;
+pub mod listeners;
+pub mod notify;
 pub mod plan;
+pub mod record;
+mod requests;
+pub mod store;
+pub mod supervisor;
+pub mod workers;
--- a/crates/daemon/src/plan.rs
+++ b/crates/daemon/src/plan.rs
@@ -321,6 +321,8 @@
     leaving: bool,
     /// Nobody accepts clients yet.
     shut: bool,
+    /// Those that are not to run when they first appear.
+    held_from_start: BTreeSet<Name>,
     /// Sidecars of another process that hands over to this one, or takes over from it.
     others: u32,
     now: Millis,
@@ -350,11 +352,17 @@
             last: first,
             leaving: false,
             shut: false,
+            held_from_start: BTreeSet::new(),
             others: 0,
             now: 0,
         }
     }
 
+    /// These are not to run when they first appear, until the operator starts them.
+    pub fn hold_from_start(&mut self, names: impl IntoIterator<Item = Name>) {
+        self.held_from_start.extend(names);
+    }
+
     /// Starts everything without letting it accept clients, until [`Event::OpenUp`].
     pub fn hold_back(&mut self) {
         self.shut = true;
@@ -438,6 +446,11 @@
         self.slots.iter().filter(|(_, slot)| slot.held).map(|(name, _)| name)
     }
 
+    /// The number of the last generation.
+    pub fn last(&self) -> u64 {
+        self.last
+    }
+
     /// What is taken of the budgets.
     pub fn taken(&self) -> Demand {
         self.ledger.taken()
@@ -538,7 +551,8 @@
             slot.desired = next;
         }
         for (name, spec) in wanted {
-            self.slots.insert(name, Slot { desired: Some(spec), ..Slot::new() });
+            let held = self.held_from_start.remove(&name);
+            self.slots.insert(name, Slot { desired: Some(spec), held, ..Slot::new() });
         }
         self.reconcile_all(steps);
     }
--- /dev/null
+++ b/crates/daemon/src/requests.rs
@@ -0,0 +1,337 @@
+//! What the supervisor answers to the operator's clients.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use crate::config::{Fleet, InstanceSpec};
+use crate::control::Asked;
+use crate::fleet_file;
+use crate::frames::{
+    Answer, Ask, Changes, Fault, Instance, Kind, Outcome, ProcessStatus, Reply, VERSION, WorkerStatus,
+};
+use crate::handover::{Bequest, Successor};
+use crate::plan::{Change, Event, Name, Spec, State, View};
+use crate::store::Item;
+use crate::supervisor::{Note, Phase, Supervisor, Upgrade};
+
+/// A worker is not stalled on purpose for longer than this.
+const LONGEST_STALL: Duration = Duration::from_secs(10);
+
+impl Reply {
+    /// That something was done, or begun.
+    pub fn done(text: impl Into<String>) -> Reply {
+        Reply::ok(Answer::Done(text.into()))
+    }
+}
+
+/// A state in a word.
+pub fn word(state: State) -> &'static str {
+    match state {
+        State::Starting => "starting",
+        State::Ready => "ready",
+        State::Changing => "changing",
+        State::Draining => "draining",
+        State::Ended => "ended",
+        State::Waiting => "waiting",
+        State::Failed => "failed",
+    }
+}
+
+impl Supervisor {
+    /// Answers a request. One for a handover is answered when that has come about, or has not.
+    pub fn asked(&mut self, asked: Asked) {
+        let Asked { ask, reply } = asked;
+        let answer = match ask {
+            Ask::List => {
+                Reply::ok(Answer::Instances(self.plan.views().map(|view| self.instance(&view)).collect()))
+            }
+            Ask::Show { name } => match self.plan.view(&name) {
+                Some(view) => Reply::ok(Answer::Instances(vec![self.instance(&view)])),
+                None => unknown(&name),
+            },
+            Ask::Status => Reply::ok(Answer::Process(Box::new(self.status()))),
+            Ask::Apply { dry_run: true } => self.apply(true).0,
+            Ask::Fault { fault } => self.fail_on_purpose(&fault),
+            // What follows changes something.
+            _ if self.phase == Phase::Upgrading => {
+                Reply::error(Kind::Refused, "an upgrade is under way; ask again when it is over")
+            }
+            _ if self.phase == Phase::Draining => Reply::error(Kind::Refused, "the daemon drains and ends"),
+            Ask::Apply { dry_run: false } => self.apply(false).0,
+            Ask::Start { name } => self.tell(&name, Event::Start, false),
+            Ask::Restart { name } => self.tell(&name, Event::Restart, false),
+            Ask::Drain { name } => self.tell(&name, Event::Stop, false),
+            Ask::Stop { name } => self.tell(&name, Event::Stop, true),
+            Ask::DrainAll => {
+                self.log.line("told to drain everything: finishing what is held");
+                self.drain_all();
+                Reply::done("everything drains; the daemon ends with the last")
+            }
+            Ask::Upgrade { binary } => {
+                let upgrade = Upgrade::new(reply);
+                return self.upgrade(PathBuf::from(binary), upgrade);
+            }
+        };
+        // Its client may have gone.
+        let _ = reply.send(answer);
+    }
+
+    /// Passes an operator's wish for one instance on, and keeps it if it is to last.
+    fn tell(&mut self, name: &str, event: fn(Name) -> Event<InstanceSpec>, lasts: bool) -> Reply {
+        let Some(view) = self.plan.view(name) else { return unknown(name) };
+        let before = self.stopped.len();
+        let changed = if lasts { self.stopped.insert(view.name.clone()) } else { self.stopped.remove(name) };
+        if let Some(store) = self.store.as_ref().filter(|_| changed || before != self.stopped.len()) {
+            let names: Vec<&str> = self.stopped.iter().map(|name| &**name).collect();
+            store.write(Item::Stopped, serde_json::to_vec(&names).ok());
+        }
+        self.feed(event(view.name));
+        let state = self.plan.view(name).map_or("ended", |view| word(view.state));
+        Reply::done(format!("{name}: {state}"))
+    }
+
+    /// Reads the configuration again, and brings it into force unless this is a trial or it is faulty. The same in
+    /// lines for the log.
+    pub fn apply(&mut self, dry_run: bool) -> (Reply, Vec<String>) {
+        let fleet = match fleet_file::load(&self.options.config) {
+            Ok(fleet) => fleet,
+            Err(faults) => {
+                let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+                let text = format!("{} faults; the old configuration stays", faults.len());
+                let mut lines = vec![text.clone()];
+                lines.extend(faults.iter().cloned());
+                return (Reply::faults(Kind::BadConfig, text, faults), lines);
+            }
+        };
+        let changes = changes(&self.fleet, &fleet);
+        let lines = vec![format!(
+            "{} added, {} removed, {} changed in place, {} by a successor, {} unchanged",
+            changes.added.len(),
+            changes.removed.len(),
+            changes.in_place.len(),
+            changes.successor.len(),
+            changes.unchanged
+        )];
+        if !dry_run {
+            self.bring_into_force(fleet, &changes);
+        }
+        (Reply::ok(Answer::Changes(changes)), lines)
+    }
+
+    fn bring_into_force(&mut self, fleet: Fleet, changes: &Changes) {
+        for name in &changes.removed {
+            self.known.remove(name.as_str());
+            self.stopped.remove(name.as_str());
+            if let Some(store) = &self.store {
+                store.write(Item::List(name.as_str().into()), None);
+            }
+        }
+        let process = self.fleet.process.clone();
+        self.fleet = fleet;
+        // Workers and paths stay as they are until a restart.
+        let new = &mut self.fleet.process;
+        (new.workers, new.control, new.state) = (process.workers, process.control, process.state);
+        self.share();
+        self.plan.set_budget(self.fleet.process.budget, self.fleet.process.rules.clone());
+        let instances = self.fleet.instances.clone();
+        self.feed(Event::Apply(instances));
+        // What nobody runs under any more is not kept.
+        self.budgets.retain(|name, budgets| {
+            self.fleet.instances.contains_key(name) || budgets.clients.held() + budgets.upstreams.held() > 0
+        });
+    }
+
+    fn fail_on_purpose(&mut self, fault: &Fault) -> Reply {
+        if !self.options.allow_faults {
+            return Reply::error(
+                Kind::Refused,
+                "faults are not allowed; start the daemon with --allow-faults",
+            );
+        }
+        match fault {
+            Fault::Panic { name } => {
+                let running = self.plan.view(name).and_then(|view| view.generation);
+                match running.and_then(|generation| self.lives.get(&generation)) {
+                    Some(life) => {
+                        life.control.inject_panic();
+                        Reply::done(format!("{name}: panics"))
+                    }
+                    None => unknown(name),
+                }
+            }
+            Fault::Stall { worker, ms } => {
+                let span = Duration::from_millis(*ms).min(LONGEST_STALL);
+                let stalled = self.workers.spawn(*worker, async move { std::thread::sleep(span) });
+                match stalled {
+                    Some(_) => Reply::done(format!("worker {worker}: stalls")),
+                    None => Reply::error(Kind::Unknown, format!("there is no worker {worker}")),
+                }
+            }
+        }
+    }
+
+    /// Starts a successor process and hands everything to it, in a thread of its own.
+    fn upgrade(&mut self, binary: PathBuf, mut upgrade: Upgrade) {
+        let Some(control) = self.socket.clone().filter(|_| is_program(&binary)) else {
+            let text = format!("{} is not a program that can be run", binary.display());
+            return upgrade.answer(Reply::error(Kind::Failed, text));
+        };
+        let ready =
+            self.plan.views().filter(|view| view.state == State::Ready).map(|view| view.name.to_string());
+        let others = self.lives.len() as u32;
+        let bequest = Bequest {
+            control,
+            lock: self.store.as_ref().map(|store| store.lock()),
+            listeners: self.listeners.all(),
+            lists: self.known.iter().map(|(name, list)| (name.clone(), list.clone())).collect(),
+            others,
+            ready: ready.collect(),
+            stopped: self.plan.held().map(|name| name.to_string()).collect(),
+            first: self.plan.last(),
+        };
+        self.log.line(format!("upgrade: starting {}", binary.display()));
+        self.phase = Phase::Upgrading;
+        // The successor starts as many; for a while there are twice as many sidecars.
+        self.feed(Event::Others(others));
+        let mut arguments =
+            vec!["daemon".into(), "--config".into(), self.options.config.clone().into_os_string()];
+        arguments.push("--take-over".into());
+        if self.options.allow_faults {
+            arguments.push("--allow-faults".into());
+        }
+        let (notes, cancelled) = (self.notes.clone(), upgrade.cancelled.clone());
+        let at_most = self.fleet.process.upgrade_within;
+        self.upgrade = Some(upgrade);
+        std::thread::spawn(move || {
+            let started = Successor::start(&binary, &arguments, at_most);
+            let result = started.and_then(|successor| successor.hand_over(&bequest, &cancelled));
+            let _ = notes.send(Note::Successor(result));
+        });
+    }
+
+    fn instance(&self, view: &View<InstanceSpec>) -> Instance {
+        let life = view.generation.and_then(|generation| self.lives.get(&generation));
+        let generations = view.generation.iter().chain(&view.successor).chain(&view.draining);
+        let lives = generations.filter_map(|generation| self.lives.get(generation));
+        let open = lives.map(|life| life.control.vitals().open()).sum();
+        let count = |of: fn(&sagemast_sidecar::vitals::Vitals) -> &std::sync::atomic::AtomicU64| {
+            life.map_or(0, |life| of(life.control.vitals()).load(Ordering::Relaxed))
+        };
+        let spec = view.spec.as_ref();
+        let address = spec.and_then(|spec| self.listeners.address(&spec.place()));
+        let budgets = self.budgets.get(&view.name);
+        Instance {
+            name: view.name.to_string(),
+            state: word(view.state).to_owned(),
+            listen: address.map_or(String::new(), |address| address.to_string()),
+            discovery: spec.map_or(String::new(), |spec| spec.discovery.to_string()),
+            generation: view.generation.map(|generation| generation.0),
+            successor: view.successor.map(|generation| generation.0),
+            draining: view.draining.len(),
+            worker: life.map(|life| life.worker),
+            open,
+            taken: count(|vitals| &vitals.taken),
+            served: count(|vitals| &vitals.served),
+            refused: count(|vitals| &vitals.refused),
+            failed: count(|vitals| &vitals.failed),
+            left: count(|vitals| &vitals.left),
+            sends: count(|vitals| &vitals.sends),
+            upstreams: count(|vitals| &vitals.upstreams),
+            seq: count(|vitals| &vitals.seq),
+            connections: budgets.map_or([0, 0], |b| [b.clients.held(), b.upstreams.held()]),
+            failures: view.failures,
+            retry_in_ms: view.retry_at.map(|at| at.saturating_sub(self.now())),
+            stopped: view.held,
+            note: view.note.clone(),
+        }
+    }
+
+    fn status(&self) -> ProcessStatus {
+        let mut instances: BTreeMap<String, usize> = BTreeMap::new();
+        for view in self.plan.views() {
+            *instances.entry(word(view.state).to_owned()).or_default() += 1;
+        }
+        let workers = (0..self.workers.count()).map(|at| WorkerStatus {
+            generations: self.workers.generations(at),
+            silent_ms: self.workers.silent(at).as_millis() as u64,
+            stuck: self.workers.is_stuck(at),
+        });
+        let (taken, budget) = (self.plan.taken(), self.plan.budget());
+        let most = self.shares.lock().unwrap_or_else(PoisonError::into_inner).most().0;
+        ProcessStatus {
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            pid: std::process::id(),
+            uptime_ms: self.now(),
+            phase: match self.phase {
+                Phase::Serving => "serving",
+                Phase::Upgrading => "upgrading",
+                Phase::Draining => "draining",
+            }
+            .to_owned(),
+            instances,
+            open: self.lives.values().map(|life| life.control.vitals().open()).sum(),
+            workers: workers.collect(),
+            memory_mb: [taken.memory_mb, budget.memory_mb],
+            descriptors: [taken.descriptors, budget.descriptors],
+            connections_per_upstream: [most, self.fleet.process.connections_per_upstream],
+            state_trouble: self.store.as_ref().and_then(|store| store.trouble()),
+            settled: self.plan.is_settled(),
+        }
+    }
+}
+
+impl Upgrade {
+    fn new(reply: tokio::sync::oneshot::Sender<Reply>) -> Upgrade {
+        Upgrade { reply: Some(reply), cancelled: Arc::new(AtomicBool::new(false)), ends: false }
+    }
+
+    fn answer(&mut self, reply: Reply) {
+        if let Some(to) = self.reply.take() {
+            let _ = to.send(reply);
+        }
+    }
+}
+
+fn unknown(name: &str) -> Reply {
+    Reply {
+        v: VERSION,
+        outcome: Outcome::Error(crate::frames::Problem {
+            kind: Kind::Unknown,
+            text: format!("no instance is named {name:?}; `sagemast ctl list` tells those that there are"),
+            faults: Vec::new(),
+        }),
+    }
+}
+
+fn is_program(path: &Path) -> bool {
+    use std::os::unix::fs::PermissionsExt;
+    std::fs::metadata(path).is_ok_and(|about| about.is_file() && about.permissions().mode() & 0o111 != 0)
+}
+
+/// What a new configuration changes.
+fn changes(old: &Fleet, new: &Fleet) -> Changes {
+    let mut changes = Changes::default();
+    for (name, spec) in &new.instances {
+        match old.instances.get(name).map(|before| before.change_to(spec)) {
+            None => changes.added.push(name.to_string()),
+            Some(Change::None) => changes.unchanged += 1,
+            Some(Change::InPlace) => changes.in_place.push(name.to_string()),
+            Some(Change::Successor) => changes.successor.push(name.to_string()),
+        }
+    }
+    let gone = old.instances.keys().filter(|name| !new.instances.contains_key(*name));
+    changes.removed = gone.map(|name| name.to_string()).collect();
+    let (old, new) = (&old.process, &new.process);
+    let later = [
+        ("daemon.workers (takes an upgrade)", old.workers != new.workers),
+        ("daemon.control (takes a restart)", old.control != new.control),
+        ("daemon.state (takes a restart)", old.state != new.state),
+    ];
+    changes.later =
+        later.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key.to_owned()).collect();
+    changes
+}
--- /dev/null
+++ b/crates/daemon/src/supervisor.rs
@@ -0,0 +1,823 @@
+//! The daemon's main thread: it owns the plan, carries out its steps and tells it what came of them. What it decides
+//! itself is only how a step is done.
+
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::hash::{BuildHasher, Hasher};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use sagemast_sidecar::budget::{Budgets, SharedConnections};
+use sagemast_sidecar::driver::Told;
+use sagemast_sidecar::hosts::HostList;
+use sagemast_sidecar::instance::{Control, Drain, Ended, Instance, Parts, StandIn, StandInControl};
+use sagemast_sidecar::log::Log;
+use sagemast_sidecar::messages::Outlet;
+use tokio::net::UnixListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::config::{Fleet, InstanceSpec, Place, Process};
+use crate::control::{self, Asked};
+use crate::fleet_file;
+use crate::frames::Reply;
+use crate::handover::{Estate, Predecessor, Successor, Word};
+use crate::ledger::Shares;
+use crate::listeners::Listeners;
+use crate::notify::notify;
+use crate::plan::{End, Event, Generation, Leave, Millis, Name, Plan, Spec, State, Step};
+use crate::store::{Item, Store};
+use crate::workers::Workers;
+
+/// Descriptors of the process that no instance has: standard streams, the control socket and its clients, the state
+/// directory, two for each runtime, and some for what comes and goes.
+const OWN_DESCRIPTORS: u64 = 96;
+/// A list that changes often is kept this often.
+const KEEP_LISTS: Duration = Duration::from_millis(200);
+/// The kernel turns newcomers away; those that are half in take no longer than this.
+const HALF_IN: Duration = Duration::from_millis(100);
+/// Where the kernel cannot be told to: so long newcomers are still served.
+const STILL_COMING: Duration = Duration::from_millis(550);
+/// An answer that comes at the deadline of the longest class is still on its way for this long.
+const LAST_MARGIN: Duration = Duration::from_millis(640);
+/// How often workers are looked at.
+const WATCH: Duration = Duration::from_millis(500);
+
+/// How a daemon is started.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Its configuration.
+    pub config: PathBuf,
+    /// Whether it takes over from the process at the other end of its standard input.
+    pub take_over: bool,
+    /// Whether it may be told to fail on purpose, for the rig and tests.
+    pub allow_faults: bool,
+}
+
+/// Runs a daemon to its end. Errors are plain lines, and nothing listens then.
+pub fn run(options: Options) -> Result<(), Vec<String>> {
+    let log = Log::process();
+    let fleet = fleet_file::load(&options.config);
+    let lines = |faults: Vec<fleet_file::Fault>| faults.iter().map(ToString::to_string).collect::<Vec<_>>();
+    if !options.take_over {
+        return begin(options, fleet.map_err(lines)?, None, log);
+    }
+    let failed = |error: std::io::Error| vec![format!("cannot take over: {error}")];
+    let stdin = rustix::io::fcntl_dupfd_cloexec(rustix::stdio::stdin(), 3).map_err(|e| failed(e.into()))?;
+    // Whoever sends is alive; one that says nothing for as long as an upgrade may take is not.
+    let at_most = fleet.as_ref().map_or(Duration::from_secs(30), |fleet| fleet.process.upgrade_within);
+    let (predecessor, estate) = Predecessor::meet(stdin, at_most).map_err(|line| vec![line])?;
+    match fleet.map_err(lines) {
+        Ok(fleet) => begin(options, fleet, Some((predecessor, estate)), log),
+        Err(faults) => {
+            predecessor.failed(&faults.join("; "));
+            Err(faults)
+        }
+    }
+}
+
+fn begin(
+    options: Options,
+    fleet: Fleet,
+    inheritance: Option<(Predecessor, Estate)>,
+    log: Log,
+) -> Result<(), Vec<String>> {
+    let (predecessor, estate) = inheritance.unzip();
+    let built = build(options, fleet, estate, log.clone());
+    let (runtime, supervisor, socket) = match built {
+        Ok(built) => built,
+        Err(line) => {
+            if let Some(predecessor) = predecessor {
+                predecessor.failed(&line);
+            }
+            return Err(vec![line]);
+        }
+    };
+    runtime.block_on(supervisor.supervise(socket, predecessor)).map_err(|line| vec![line])
+}
+
+type Built = (tokio::runtime::Runtime, Supervisor, std::os::unix::net::UnixListener);
+
+/// Takes hold of everything that a daemon needs, or says in a line why it cannot.
+fn build(options: Options, fleet: Fleet, estate: Option<Estate>, log: Log) -> Result<Built, String> {
+    raise_descriptors(&fleet.process)?;
+    let Process { rules, budget, state, control, workers, connections_per_upstream, .. } = &fleet.process;
+    let first = estate.as_ref().map_or(0, |estate| estate.first);
+    let mut plan = Plan::new(rules.clone(), *budget, first);
+    let mut listeners = Listeners::default();
+    let mut known = HashMap::new();
+    let mut stopped = BTreeSet::new();
+    let mut awaited = Vec::new();
+    let mut lock = None;
+    let mut socket = None;
+    let mut others = 0;
+    if let Some(estate) = estate {
+        plan.hold_back();
+        plan.hold_from_start(estate.stopped.iter().cloned());
+        listeners.adopt(estate.listeners);
+        known = estate.lists;
+        stopped.extend(estate.stopped);
+        awaited = estate.ready;
+        lock = estate.lock;
+        socket = Some(estate.control);
+        others = estate.others;
+    }
+    let store = match (state, lock) {
+        (None, _) => None,
+        (Some(folder), Some(lock)) => Some(Store::holding(folder, Arc::new(lock), log.clone())),
+        (Some(folder), None) => Some(Store::open(folder, log.clone())?),
+    };
+    if let Some(store) = store.as_ref().filter(|_| socket.is_none()) {
+        for name in fleet.instances.keys() {
+            let item = Item::List(name.clone());
+            if let Some(list) = store.read(&item) {
+                match serde_json::from_slice::<HostList>(&list) {
+                    Ok(_) => drop(known.insert(name.clone(), list)),
+                    Err(error) => store.set_aside(&item, &error.to_string()),
+                }
+            }
+        }
+        if let Some(names) = store.read(&Item::Stopped) {
+            match serde_json::from_slice::<Vec<String>>(&names) {
+                Ok(names) => stopped.extend(names.into_iter().map(Name::from)),
+                Err(error) => store.set_aside(&Item::Stopped, &error.to_string()),
+            }
+        }
+        plan.hold_from_start(stopped.iter().cloned());
+    }
+    let socket = match socket {
+        Some(socket) => std::os::unix::net::UnixListener::from(socket),
+        None => control::bind(control)?,
+    };
+    let prepared = socket.set_nonblocking(true);
+    prepared.map_err(|error| format!("daemon.control: {}: {error}", control.display()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| format!("cannot start the runtime: {error}"))?;
+    let workers =
+        Workers::start(*workers).map_err(|error| format!("daemon.workers: cannot start: {error}"))?;
+    let (notes, inbox) = mpsc::unbounded_channel();
+    let supervisor = Supervisor {
+        plan,
+        listeners,
+        known,
+        stopped,
+        awaited,
+        others,
+        store,
+        workers,
+        shares: Arc::new(Mutex::new(Shares::new(*connections_per_upstream))),
+        budgets: HashMap::new(),
+        lives: HashMap::new(),
+        stand_ins: HashMap::new(),
+        notes,
+        inbox,
+        epoch: Instant::now(),
+        phase: Phase::Serving,
+        upgrade: None,
+        left_to: HashSet::new(),
+        heir: None,
+        socket: None,
+        control_over: None,
+        stuck: BTreeSet::new(),
+        options,
+        fleet,
+        log,
+    };
+    Ok((runtime, supervisor, socket))
+}
+
+/// Has the process hold as many descriptors as the budget says.
+fn raise_descriptors(process: &Process) -> Result<(), String> {
+    use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+
+    let needs = process.budget.descriptors + OWN_DESCRIPTORS;
+    let limit = getrlimit(Resource::Nofile);
+    if limit.current.is_none_or(|current| current >= needs) {
+        return Ok(());
+    }
+    let raised = Rlimit { current: Some(needs), maximum: limit.maximum };
+    if limit.maximum.is_none_or(|maximum| maximum >= needs) && setrlimit(Resource::Nofile, raised).is_ok() {
+        return Ok(());
+    }
+    let maximum = limit.maximum.unwrap_or(u64::MAX);
+    Err(format!(
+        "budgets.descriptors: {needs} are needed with the daemon's own {OWN_DESCRIPTORS}, and the process may hold \
+         {maximum}: raise its limit (LimitNOFILE) or lower the budget"
+    ))
+}
+
+/// Something that the supervisor is told. Each is told once by something whose number is bounded.
+pub(crate) enum Note {
+    Started(Generation),
+    Told(Generation, Told),
+    Ended(Generation, Ended),
+    /// Its list of upstreams, unless it has ended meanwhile.
+    List(Generation, Option<HostList>),
+    /// A stand-in has left this place.
+    StoodIn(Place),
+    /// A successor process is ready, or was ended.
+    Successor(Result<(Successor, Vec<Place>), String>),
+    /// It serves, or was ended. With it the process id.
+    Serves(u32, Result<UnixStream, String>),
+    /// The predecessor has spoken.
+    Heard(Word),
+    /// The predecessor has ended.
+    Alone,
+}
+
+/// How far the process is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    Serving,
+    Upgrading,
+    Draining,
+}
+
+/// A generation that has not ended.
+pub(crate) struct Life {
+    pub name: Name,
+    pub control: Control,
+    pub place: Place,
+    pub worker: usize,
+    task: AbortHandle,
+    spec: InstanceSpec,
+    /// Its list is being asked for, and has changed again since.
+    listing: bool,
+    relist: bool,
+}
+
+/// A handover under way.
+pub(crate) struct Upgrade {
+    pub reply: Option<oneshot::Sender<Reply>>,
+    pub cancelled: Arc<AtomicBool>,
+    /// SIGTERM came meanwhile: it ends the process, and the successor with it.
+    pub ends: bool,
+}
+
+pub(crate) struct Supervisor {
+    pub options: Options,
+    pub fleet: Fleet,
+    pub plan: Plan<InstanceSpec>,
+    pub workers: Workers,
+    pub listeners: Listeners,
+    pub lives: HashMap<Generation, Life>,
+    stand_ins: HashMap<Name, (StandInControl, Place)>,
+    pub budgets: HashMap<Name, Budgets>,
+    pub shares: Arc<Mutex<Shares<Name>>>,
+    /// The last list of each instance, as JSON.
+    pub known: HashMap<Name, Vec<u8>>,
+    pub store: Option<Store>,
+    /// Those that are to stay stopped after a restart of the daemon.
+    pub stopped: BTreeSet<Name>,
+    /// In a successor process: those that must be ready before it takes over, and how many the predecessor runs.
+    awaited: Vec<Name>,
+    others: u32,
+    pub notes: mpsc::UnboundedSender<Note>,
+    inbox: mpsc::UnboundedReceiver<Note>,
+    pub epoch: Instant,
+    pub phase: Phase,
+    pub upgrade: Option<Upgrade>,
+    /// Places that a successor process listens at.
+    left_to: HashSet<Place>,
+    /// Kept open for as long as this process runs.
+    heir: Option<UnixStream>,
+    pub socket: Option<Arc<UnixListener>>,
+    control_over: Option<oneshot::Sender<()>>,
+    stuck: BTreeSet<usize>,
+    pub log: Log,
+}
+
+impl Supervisor {
+    async fn supervise(
+        mut self,
+        socket: std::os::unix::net::UnixListener,
+        predecessor: Option<Predecessor>,
+    ) -> Result<(), String> {
+        let caught = |kind| signal(kind).map_err(|error| format!("cannot wait for signals: {error}"));
+        let mut terminate = caught(SignalKind::terminate())?;
+        let mut interrupt = caught(SignalKind::interrupt())?;
+        let mut hangup: Signal = caught(SignalKind::hangup())?;
+        let socket = UnixListener::from_std(socket).map_err(|error| format!("daemon.control: {error}"))?;
+        let socket = Arc::new(socket);
+        self.socket = Some(socket.clone());
+        let (asked, mut requests) = mpsc::channel(control::WAITING);
+        let mut clients = Some((socket, asked));
+        let mut predecessor = predecessor;
+        if predecessor.is_some() {
+            let others = self.others;
+            self.feed(Event::Others(others));
+        }
+        self.share();
+        let instances = self.fleet.instances.clone();
+        self.feed(Event::Apply(instances));
+        if predecessor.is_none() {
+            self.serve_clients(&mut clients);
+        }
+        let mut looked = Instant::now();
+        loop {
+            if let Some(waiting) = predecessor.take() {
+                predecessor = self.offer(waiting)?;
+            }
+            if self.plan.is_over() && self.upgrade.is_none() {
+                break;
+            }
+            let wake = self.plan.next_wake().map(|at| self.epoch + Duration::from_millis(at));
+            tokio::select! {
+                Some(note) = self.inbox.recv() => {
+                    let go = matches!(note, Note::Heard(Word::Go | Word::Dead));
+                    self.noted(note)?;
+                    if go {
+                        self.serve_clients(&mut clients);
+                    }
+                }
+                Some(asked) = requests.recv() => self.asked(asked),
+                _ = terminate.recv() => self.end("SIGTERM"),
+                _ = interrupt.recv() => self.end("SIGINT"),
+                _ = hangup.recv() => self.reload(),
+                () = sleep_until(wake.unwrap_or_else(Instant::now)), if wake.is_some() => self.feed(Event::Woke),
+                () = sleep_until(looked + WATCH) => {
+                    looked = Instant::now();
+                    self.look_at_workers();
+                }
+            }
+        }
+        if self.heir.is_none() {
+            // The last client may have asked for this very end.
+            let _ = std::fs::remove_file(&self.fleet.process.control);
+        }
+        if self.store.as_ref().is_some_and(|store| !store.flush(Duration::from_secs(2))) {
+            self.log.line("state: not all was written before the end");
+        }
+        self.log.line("ended");
+        Ok(())
+    }
+
+    /// Takes clients on the control socket from now on.
+    fn serve_clients(&mut self, clients: &mut Option<(Arc<UnixListener>, mpsc::Sender<Asked>)>) {
+        let Some((socket, asked)) = clients.take() else { return };
+        let (over, is_over) = oneshot::channel();
+        self.control_over = Some(over);
+        tokio::spawn(control::serve(socket, asked, is_over, self.log.clone()));
+        self.log.line(format!("control at {}", self.fleet.process.control.display()));
+        let pid = std::process::id();
+        notify(&format!("READY=1\nMAINPID={pid}"));
+    }
+
+    /// The plan's clock.
+    pub fn now(&self) -> Millis {
+        self.epoch.elapsed().as_millis() as Millis
+    }
+
+    /// Hands an event to the plan, and does what it says.
+    pub fn feed(&mut self, event: Event<InstanceSpec>) {
+        let mut events = VecDeque::from([event]);
+        let mut steps = Vec::new();
+        while let Some(event) = events.pop_front() {
+            let now = self.now();
+            self.plan.handle(now, event, &mut steps);
+            for step in steps.drain(..) {
+                events.extend(self.carry_out(step));
+            }
+        }
+    }
+
+    fn noted(&mut self, note: Note) -> Result<(), String> {
+        match note {
+            Note::Started(generation) => self.feed(Event::Started(generation)),
+            Note::Told(generation, Told::Ready) => self.feed(Event::Ready(generation)),
+            Note::Told(generation, Told::Listed) => self.keep_list(generation),
+            Note::List(generation, list) => self.listed(generation, list),
+            Note::Ended(generation, ended) => {
+                let life = self.lives.remove(&generation);
+                self.feed(Event::Ended(
+                    generation,
+                    match ended {
+                        Ended::Drained => End::Drained,
+                        Ended::Overdue => End::Overdue,
+                        Ended::Failed(reason) => End::Failed(reason),
+                    },
+                ));
+                // Only now: whoever takes its place listens on the same socket.
+                if let Some(life) = life {
+                    self.listeners.give_back(&life.place);
+                }
+            }
+            Note::StoodIn(place) => self.listeners.give_back(&place),
+            Note::Successor(result) => self.successor_ready(result),
+            Note::Serves(pid, result) => self.successor_serves(pid, result),
+            Note::Heard(Word::Cancel) => return Err("the predecessor goes on; this process ends".to_owned()),
+            Note::Heard(word) => {
+                self.listeners.forget_adopted();
+                self.feed(Event::OpenUp);
+                if word == Word::Dead {
+                    self.log.line("the predecessor has died: serving in its place");
+                    self.feed(Event::Others(0));
+                }
+            }
+            Note::Alone => self.feed(Event::Others(0)),
+        }
+        Ok(())
+    }
+
+    // --- Steps -----------------------------------------------------------------------------------------
+
+    /// Carries out a step. What is known of its outcome at once comes back.
+    fn carry_out(&mut self, step: Step<InstanceSpec>) -> Option<Event<InstanceSpec>> {
+        match step {
+            Step::Start { name, generation, spec, standby, sidecars, after: _ } => {
+                let place = spec.place();
+                self.launch(name, generation, spec, standby, sidecars)
+                    .map_err(|error| {
+                        Event::StartFailed(generation, format!("cannot listen on {place}: {error}"))
+                    })
+                    .err()
+            }
+            Step::Sidecars(generation, count) => {
+                if let Some(life) = self.lives.get(&generation) {
+                    life.control.set_sidecars(count);
+                }
+                None
+            }
+            Step::Open(generation) => {
+                if let Some(life) = self.lives.get(&generation) {
+                    life.control.open();
+                }
+                None
+            }
+            Step::Adjust(generation, spec) => {
+                let Some(life) = self.lives.get_mut(&generation) else {
+                    return Some(Event::Adjusted(generation, Err("it has ended".to_owned())));
+                };
+                if life.spec.discovery != spec.discovery {
+                    life.control.move_discovery(spec.discovery);
+                }
+                if let Some(budgets) = self.budgets.get(&life.name) {
+                    budgets.clients.set_limit(spec.connections());
+                    budgets.upstreams.set_limit(spec.connections());
+                }
+                life.spec = spec;
+                Some(Event::Adjusted(generation, Ok(())))
+            }
+            Step::Drain(generation, leave) => {
+                self.drain(generation, leave);
+                None
+            }
+            Step::Abandon(generation) => {
+                if let Some(life) = self.lives.remove(&generation) {
+                    life.task.abort();
+                    self.listeners.give_back(&life.place);
+                }
+                None
+            }
+            Step::StandIn(name, spec) => {
+                if let Err(error) = self.stand_in(&name, &spec) {
+                    Log::instance(&name).line(format!("its clients are not answered meanwhile: {error}"));
+                }
+                None
+            }
+            Step::StandDown(name) => {
+                if let Some((stand_in, place)) = self.stand_ins.remove(&name) {
+                    let shared = self.listeners.is_shared(&place) || self.left_to.contains(&place);
+                    if !shared {
+                        self.listeners.shut(&place);
+                    }
+                    stand_in.leave(shared);
+                }
+                None
+            }
+            Step::Tell(name, text) => {
+                Log::instance(&name).line(text);
+                None
+            }
+        }
+    }
+
+    fn launch(
+        &mut self,
+        name: Name,
+        generation: Generation,
+        spec: InstanceSpec,
+        standby: bool,
+        sidecars: u32,
+    ) -> std::io::Result<()> {
+        let place = spec.place();
+        let (listener, worker, address) = self.listeners.take(&place, &self.workers)?;
+        let log = Log::instance(&name);
+        let notes = self.notes.clone();
+        let known = self.known.get(&name).and_then(|list| serde_json::from_slice(list).ok());
+        let (instance, control) = Instance::new(Parts {
+            seed: spec.seed.unwrap_or_else(random_seed),
+            discovery: spec.discovery,
+            known,
+            listener,
+            budgets: self.budgets_of(&name, &spec),
+            log: log.clone(),
+            listening: Outlet::to(move |told| notes.send(Note::Told(generation, told)).is_ok()),
+            standby,
+            settings: (*spec.settings).clone(),
+        });
+        control.set_sidecars(sidecars);
+        let word = LastWord { generation, notes: self.notes.clone(), said: false };
+        let task = self.workers.spawn(worker, async move {
+            let _ = word.notes.send(Note::Started(generation));
+            let ended = instance.run().await;
+            word.say(ended);
+        });
+        let Some(task) = task else {
+            self.listeners.give_back(&place);
+            return Err(std::io::Error::other("there is no such worker"));
+        };
+        if !standby {
+            log.line(format!("listening on {address}"));
+        }
+        let life = Life { name, control, place, worker, task, spec, listing: false, relist: false };
+        self.lives.insert(generation, life);
+        Ok(())
+    }
+
+    /// What an instance may hold, over all its generations.
+    fn budgets_of(&mut self, name: &Name, spec: &InstanceSpec) -> Budgets {
+        let connections = spec.connections();
+        let shared = Holder { shares: self.shares.clone(), name: name.clone() };
+        let budgets = self
+            .budgets
+            .entry(name.clone())
+            .or_insert_with(|| Budgets { shared: Some(Arc::new(shared)), ..Budgets::of(connections) });
+        budgets.clients.set_limit(connections);
+        budgets.upstreams.set_limit(connections);
+        budgets.clone()
+    }
+
+    fn drain(&mut self, generation: Generation, leave: Leave) {
+        let Some(life) = self.lives.get(&generation) else { return };
+        let at_most = self.fleet.process.drain_at_most.max(life.control.longest_deadline() + LAST_MARGIN);
+        let how = if leave == Leave::HandOver || self.left_to.contains(&life.place) {
+            Drain::HandOver { at_most }
+        } else {
+            let linger = if self.listeners.shut(&life.place) { HALF_IN } else { STILL_COMING };
+            Drain::Close { linger, at_most }
+        };
+        life.control.drain(how);
+    }
+
+    fn stand_in(&mut self, name: &Name, spec: &InstanceSpec) -> std::io::Result<()> {
+        let place = spec.place();
+        let (listener, worker, _) = self.listeners.take(&place, &self.workers)?;
+        let budgets = self.budgets_of(name, spec);
+        let (stand_in, control) = StandIn::new(&spec.settings, listener, &budgets, Log::instance(name));
+        let (notes, left) = (self.notes.clone(), place.clone());
+        let spawned = self.workers.spawn(worker, async move {
+            stand_in.run().await;
+            let _ = notes.send(Note::StoodIn(left));
+        });
+        if spawned.is_none() {
+            self.listeners.give_back(&place);
+        }
+        self.stand_ins.insert(name.clone(), (control, place));
+        Ok(())
+    }
+
+    // --- Lists -----------------------------------------------------------------------------------------
+
+    /// Asks for the list of a generation in a while, unless that is under way.
+    fn keep_list(&mut self, generation: Generation) {
+        let Some(life) = self.lives.get_mut(&generation) else { return };
+        if std::mem::replace(&mut life.listing, true) {
+            life.relist = true;
+            return;
+        }
+        let (control, notes) = (life.control.clone(), self.notes.clone());
+        tokio::spawn(async move {
+            sleep(KEEP_LISTS).await;
+            let list = control.list().await.ok();
+            let _ = notes.send(Note::List(generation, list));
+        });
+    }
+
+    fn listed(&mut self, generation: Generation, list: Option<HostList>) {
+        let Some(life) = self.lives.get_mut(&generation) else { return };
+        life.listing = false;
+        let again = std::mem::take(&mut life.relist);
+        let name = life.name.clone();
+        if let Some(text) = list.and_then(|list| serde_json::to_vec(&list).ok()) {
+            if let Some(store) = &self.store {
+                store.write(Item::List(name.clone()), Some(text.clone()));
+            }
+            self.known.insert(name, text);
+        }
+        if again {
+            self.keep_list(generation);
+        }
+    }
+
+    // --- The end, and what comes before ----------------------------------------------------------------
+
+    fn end(&mut self, why: &str) {
+        match &mut self.upgrade {
+            Some(upgrade) => {
+                self.log.line(format!("{why}: the upgrade is cancelled, then everything drains"));
+                upgrade.cancelled.store(true, Ordering::Relaxed);
+                upgrade.ends = true;
+            }
+            None if self.phase == Phase::Draining => {}
+            None => {
+                self.log.line(format!("{why}: finishing what is held"));
+                self.drain_all();
+            }
+        }
+    }
+
+    /// Drains everything; the process ends with the last.
+    pub fn drain_all(&mut self) {
+        self.phase = Phase::Draining;
+        notify("STOPPING=1");
+        self.feed(Event::DrainAll);
+    }
+
+    fn reload(&mut self) {
+        for line in self.apply(false).1 {
+            self.log.line(format!("SIGHUP: {line}"));
+        }
+    }
+
+    /// Tells the budget for connections among how many it is shared.
+    pub fn share(&self) {
+        let mut shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        shares.set_cap(self.fleet.process.connections_per_upstream);
+        shares.set_holders(self.fleet.instances.len());
+    }
+
+    fn look_at_workers(&mut self) {
+        for at in 0..self.workers.count() {
+            let stuck = self.workers.is_stuck(at);
+            if stuck && self.stuck.insert(at) {
+                let generations = self.workers.generations(at);
+                self.log.line(format!("worker {at} is stuck; {generations} generations wait with it"));
+            } else if !stuck && self.stuck.remove(&at) {
+                self.log.line(format!("worker {at} turns again"));
+            }
+        }
+    }
+
+    // --- Handover: this process goes -------------------------------------------------------------------
+
+    fn successor_ready(&mut self, result: Result<(Successor, Vec<Place>), String>) {
+        match result {
+            Err(reason) => self.upgrade_failed(&reason),
+            Ok((mut successor, _)) if self.upgrade.as_ref().is_none_or(|upgrade| upgrade.ends) => {
+                let reason = successor.end("the upgrade was cancelled");
+                self.upgrade_failed(&reason);
+            }
+            Ok((successor, places)) => {
+                // Until it serves, both accept from the same sockets; from then on only the successor does.
+                self.left_to = places.into_iter().collect();
+                let notes = self.notes.clone();
+                let pid = successor.pid();
+                std::thread::spawn(move || {
+                    let _ = notes.send(Note::Serves(pid, successor.go()));
+                });
+            }
+        }
+    }
+
+    fn successor_serves(&mut self, pid: u32, result: Result<UnixStream, String>) {
+        match result {
+            Err(reason) => {
+                self.left_to.clear();
+                self.upgrade_failed(&reason);
+            }
+            Ok(pair) => {
+                self.heir = Some(pair);
+                let ends = self.upgrade.take().is_some_and(|mut upgrade| {
+                    if let Some(reply) = upgrade.reply.take() {
+                        let _ = reply.send(Reply::done(format!("process {pid} serves; this one drains")));
+                    }
+                    upgrade.ends
+                });
+                self.log.line(format!("handed over to process {pid}; finishing what is held"));
+                if let (true, Some(pid)) = (ends, rustix::process::Pid::from_raw(pid as i32)) {
+                    // Whoever ended this process meant the service.
+                    let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
+                }
+                // The socket and the directory are the successor's.
+                (self.control_over, self.socket) = (None, None);
+                if let Some(store) = self.store.take() {
+                    store.abandon();
+                }
+                self.phase = Phase::Draining;
+                self.feed(Event::DrainAll);
+            }
+        }
+    }
+
+    fn upgrade_failed(&mut self, reason: &str) {
+        self.log.line(format!("upgrade: {reason}; this process goes on"));
+        let Some(upgrade) = self.upgrade.take() else { return };
+        if let Some(reply) = upgrade.reply {
+            let _ = reply.send(Reply::error(
+                crate::frames::Kind::Failed,
+                format!("{reason}; the old process goes on"),
+            ));
+        }
+        self.phase = Phase::Serving;
+        self.feed(Event::Others(0));
+        if upgrade.ends {
+            self.drain_all();
+        }
+    }
+
+    // --- Handover: this process comes ------------------------------------------------------------------
+
+    /// Tells the predecessor once everything that was ready there is ready here. Gives it back while it is not.
+    fn offer(&mut self, mut predecessor: Predecessor) -> Result<Option<Predecessor>, String> {
+        for name in &self.awaited {
+            // One that the new configuration does not have is not waited for.
+            let Some(view) = self.plan.view(name) else { continue };
+            match (view.state, view.note) {
+                (State::Ready | State::Ended, _) => {}
+                (State::Waiting | State::Failed, Some(note)) => {
+                    let text = format!("{name}: {note}");
+                    predecessor.failed(&text);
+                    return Err(text);
+                }
+                _ => return Ok(Some(predecessor)),
+            }
+        }
+        let places: Vec<Place> = self.lives.values().map(|life| life.place.clone()).collect();
+        let notes = self.notes.clone();
+        // A thread of its own: it waits for as long as the predecessor takes to drain.
+        std::thread::spawn(move || {
+            let word = predecessor.ready(&places);
+            // The word first: it is heard before anyone is told that this process serves.
+            let heard = notes.send(Note::Heard(word)).is_ok();
+            if heard && word == Word::Go {
+                predecessor.serving();
+                predecessor.wait_end();
+                let _ = notes.send(Note::Alone);
+            }
+        });
+        Ok(None)
+    }
+}
+
+/// Tells that a generation has ended, also when nobody gets to say how.
+struct LastWord {
+    generation: Generation,
+    notes: mpsc::UnboundedSender<Note>,
+    said: bool,
+}
+
+impl LastWord {
+    fn say(mut self, ended: Ended) {
+        self.said = true;
+        let _ = self.notes.send(Note::Ended(self.generation, ended));
+    }
+}
+
+impl Drop for LastWord {
+    fn drop(&mut self) {
+        if !self.said {
+            let ended = Ended::Failed("its thread has dropped it".to_owned());
+            let _ = self.notes.send(Note::Ended(self.generation, ended));
+        }
+    }
+}
+
+/// One instance's part of the connections that all share.
+struct Holder {
+    shares: Arc<Mutex<Shares<Name>>>,
+    name: Name,
+}
+
+struct Taken {
+    shares: Arc<Mutex<Shares<Name>>>,
+    name: Name,
+    dial: SocketAddr,
+}
+
+impl SharedConnections for Holder {
+    fn take(&self, dial: SocketAddr) -> Option<Box<dyn Send + Sync>> {
+        let mut shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        let taken = || Taken { shares: self.shares.clone(), name: self.name.clone(), dial };
+        shares.take(dial, &self.name).then(|| Box::new(taken()) as Box<dyn Send + Sync>)
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        let mut shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        shares.give_back(self.dial, &self.name);
+    }
+}
+
+/// From the system's source, by way of the keys that the standard library draws for its maps.
+fn random_seed() -> u64 {
+    std::collections::hash_map::RandomState::new().build_hasher().finish()
+}
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -87,13 +87,31 @@
     /// Reads and checks the text of a configuration.
     pub fn parse(text: &[u8]) -> Result<Config> {
         let config: Config = serde_json::from_slice(text)?;
-        if let Some((key, fault)) = config.settings.faults().first() {
-            bail!("settings.{key}: {fault}");
+        match config.own_faults().into_iter().next() {
+            Some(fault) => bail!("{fault}"),
+            None => Ok(config),
         }
-        if config.limits.sockets < MIN_SOCKETS {
-            bail!("limits.sockets is {}; at least {MIN_SOCKETS} are needed", config.limits.sockets);
+    }
+
+    /// All that is wrong with the text of a configuration; `None` if it is sound.
+    pub fn faults(text: &[u8]) -> Option<Vec<String>> {
+        let faults = match serde_json::from_slice::<Config>(text) {
+            Ok(config) => config.own_faults(),
+            Err(error) => vec![error.to_string()],
+        };
+        (!faults.is_empty()).then_some(faults)
+    }
+
+    fn own_faults(&self) -> Vec<String> {
+        let settings = self.settings.faults().into_iter();
+        let mut faults: Vec<String> =
+            settings.map(|(key, fault)| format!("settings.{key}: {fault}")).collect();
+        if self.limits.sockets < MIN_SOCKETS {
+            let text =
+                format!("limits.sockets is {}; at least {MIN_SOCKETS} are needed", self.limits.sockets);
+            faults.push(text);
         }
-        Ok(config)
+        faults
     }
 
     /// The seed as a number; one that is not in hexadecimal digits still makes a seed of its own.
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result, bail};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode, header};
@@ -14,6 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::hosts::HostList;
+use crate::lines::Lines;
 use crate::log::Log;
 use crate::messages::Outlet;
 
@@ -45,34 +46,6 @@
     },
 }
 
-/// Cuts a stream into lines, however it is chunked.
-#[derive(Default)]
-struct Lines {
-    buffer: BytesMut,
-    searched: usize,
-}
-
-impl Lines {
-    fn push(&mut self, chunk: &[u8]) -> Result<()> {
-        if self.buffer.len() + chunk.len() > LINE_BYTES {
-            bail!("a line is longer than {LINE_BYTES} bytes");
-        }
-        self.buffer.extend_from_slice(chunk);
-        Ok(())
-    }
-
-    fn next(&mut self) -> Option<BytesMut> {
-        let Some(end) = self.buffer[self.searched..].iter().position(|byte| *byte == b'\n') else {
-            self.searched = self.buffer.len();
-            return None;
-        };
-        let mut line = self.buffer.split_to(self.searched + end + 1);
-        self.searched = 0;
-        line.truncate(line.len() - 1);
-        Some(line)
-    }
-}
-
 /// Where watches start from and what they tell.
 pub struct Watch {
     /// Discovery's address.
@@ -127,13 +100,13 @@
             bail!("answered {}", response.status());
         }
         let mut body = response.into_body();
-        let mut lines = Lines::default();
+        let mut lines = Lines::new(LINE_BYTES);
         loop {
             let frame = timeout(SILENCE, body.frame()).await.context("the watch fell silent")?;
             let frame = frame.context("the watch ended")??;
             let Ok(chunk) = frame.into_data() else { continue };
-            lines.push(&chunk)?;
-            while let Some(line) = lines.next() {
+            lines.push(&chunk).map_err(anyhow::Error::msg)?;
+            while let Some(line) = lines.next_line() {
                 self.tell(&line)?;
             }
             if std::mem::take(&mut self.missed) {
@@ -173,33 +146,3 @@
         self.0.abort();
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn lines_are_found_however_they_are_chunked() {
-        let text = b"{\"a\":1}\n\n{\"b\":2}\n{\"c\"";
-        for size in 1..text.len() {
-            let mut lines = Lines::default();
-            let mut found = Vec::new();
-            for chunk in text.chunks(size) {
-                lines.push(chunk).unwrap();
-                while let Some(line) = lines.next() {
-                    found.push(line.to_vec());
-                }
-            }
-            assert_eq!(found, [&b"{\"a\":1}"[..], b"", b"{\"b\":2}"], "chunks of {size}");
-        }
-    }
-
-    #[test]
-    fn an_endless_line_ends_the_watch() {
-        let mut lines = Lines::default();
-        let chunk = vec![b'x'; LINE_BYTES / 2 + 1];
-        lines.push(&chunk).unwrap();
-        assert!(lines.next().is_none());
-        assert!(lines.push(&chunk).is_err());
-    }
-}
--- a/crates/sidecar/src/instance.rs
+++ b/crates/sidecar/src/instance.rs
@@ -246,22 +246,50 @@
     }
 }
 
-/// Answers for an instance that is down for a while: every sound request is refused, to come back after
-/// `retry_after` milliseconds, and every connection closed. Runs until dropped.
-pub async fn stand_in(settings: &SettingsObject, listener: Arc<TcpListener>, budgets: &Budgets, log: Log) {
-    let names = Names { classes: settings.classes(), tenants: settings.tenant_names() };
-    let refuse = Outlet::to(|message| {
-        if let FromClients::Arrived(arrival) = message {
-            // Its client may have gone.
-            let _ = arrival.reply.send(Final::Refused(STAND_IN_RETRY_MS));
-        }
-        true
-    });
-    // Leaving: it accepts, and every answer closes its connection.
-    let (_phase, phases) = watch::channel(Phase::Leaving);
-    let vitals = Arc::new(Vitals::default());
-    let front = Front::new(names, phases, refuse, budgets.clients.clone(), vitals, log);
-    front::serve(listener, Arc::new(front)).await;
+/// Answers for an instance that is down for a while: every sound request is refused, to come back soon, and every
+/// connection closed. Runs until it is told to leave and has answered those that it took.
+pub struct StandIn {
+    front: Arc<Front>,
+    listener: Arc<TcpListener>,
+}
+
+/// The hold on a stand-in. When it is dropped, the stand-in ends as it is.
+pub struct StandInControl(watch::Sender<Phase>);
+
+impl StandIn {
+    /// A stand-in for an instance with these settings, and the hold on it.
+    pub fn new(
+        settings: &SettingsObject,
+        listener: Arc<TcpListener>,
+        budgets: &Budgets,
+        log: Log,
+    ) -> (StandIn, StandInControl) {
+        let names = Names { classes: settings.classes(), tenants: settings.tenant_names() };
+        let refuse = Outlet::to(|message| {
+            if let FromClients::Arrived(arrival) = message {
+                // Its client may have gone.
+                let _ = arrival.reply.send(Final::Refused(STAND_IN_RETRY_MS));
+            }
+            true
+        });
+        // Leaving: it accepts, and every answer closes its connection.
+        let (phase, phases) = watch::channel(Phase::Leaving);
+        let vitals = Arc::new(Vitals::default());
+        let front = Front::new(names, phases, refuse, budgets.clients.clone(), vitals, log);
+        (StandIn { front: Arc::new(front), listener }, StandInControl(phase))
+    }
+
+    /// Answers.
+    pub async fn run(self) {
+        front::serve(self.listener, self.front).await;
+    }
+}
+
+impl StandInControl {
+    /// Has it leave: the listener to a successor, or nobody's any more.
+    pub fn leave(&self, handed_over: bool) {
+        self.0.send_replace(if handed_over { Phase::HandedOver } else { Phase::Closing });
+    }
 }
 
 /// Restarts are quicker than this but for one that has failed several times in a row.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod headers;
 pub mod hosts;
 pub mod instance;
+pub mod lines;
 pub mod log;
 pub mod messages;
 pub mod servers;
