sagemast-rig: daemon-restart, daemon-scale and daemon-kill against stand-ins that count effects

The stage crate holds stand-in upstreams (cores, cold starts, keys of a cell), discovery, clients that know what was lost, and the program.

Found by the rig and mended: the first panic of a process took its worker 170 ms for the lookup of a backtrace, in which its other instances waited (p99 78 ms); the daemon's own hook prints a line. A stopped instance kept its listener to its last answer, so newcomers' SYNs were dropped for seconds; now it lets it go at once.

--- a/crates/daemon/src/listeners.rs
+++ b/crates/daemon/src/listeners.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpListener;
 
 use crate::config::Place;
+use crate::plan::Name;
 use crate::workers::Workers;
 
 /// One listening socket.
@@ -31,6 +32,8 @@
     entries: HashMap<Place, Entry>,
     /// Handed over by a predecessor process and not in use yet.
     adopted: HashMap<Place, OwnedFd>,
+    /// Ports that the system chose: an instance that is stopped and started again keeps its own.
+    chosen: HashMap<Place, SocketAddr>,
 }
 
 impl Listeners {
@@ -68,11 +71,15 @@
             Some(socket) => on_worker(socket, worker, workers)?,
             None => {
                 let (Place::At(address) | Place::Chosen(_, address)) = place;
+                let address = self.chosen.get(place).unwrap_or(address);
                 let bound = workers.within(worker, || front::listen(*address));
                 bound.ok_or_else(no_worker)?.map_err(|error| io::Error::other(format!("{error:#}")))?
             }
         };
         let address = listener.local_addr()?;
+        if matches!(place, Place::Chosen(..)) {
+            self.chosen.insert(place.clone(), address);
+        }
         let listener = Arc::new(listener);
         let entry = Entry { listener: listener.clone(), address, worker, users: 1, shut: false };
         self.entries.insert(place.clone(), entry);
@@ -105,6 +112,11 @@
         entry.shut
     }
 
+    /// Forgets the ports that the system chose for instances that are no more.
+    pub fn forget_chosen(&mut self, is_kept: impl Fn(&Name) -> bool) {
+        self.chosen.retain(|place, _| matches!(place, Place::Chosen(name, _) if is_kept(name)));
+    }
+
     /// Where the socket of a place is bound.
     pub fn address(&self, place: &Place) -> Option<SocketAddr> {
         self.entries.get(place).map(|entry| entry.address)
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -139,6 +139,8 @@
         self.plan.set_budget(self.fleet.process.budget, self.fleet.process.rules.clone());
         let instances = self.fleet.instances.clone();
         self.feed(Event::Apply(instances));
+        let kept = &self.fleet.instances;
+        self.listeners.forget_chosen(|name| kept.contains_key(name));
         // What nobody runs under any more is not kept.
         self.budgets.retain(|name, budgets| {
             self.fleet.instances.contains_key(name) || budgets.clients.held() + budgets.upstreams.held() > 0
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -40,7 +40,7 @@
 /// A list that changes often is kept this often.
 const KEEP_LISTS: Duration = Duration::from_millis(200);
 /// The kernel turns newcomers away; those that are half in take no longer than this.
-const HALF_IN: Duration = Duration::from_millis(100);
+const HALF_IN: Duration = Duration::from_millis(30);
 /// Where the kernel cannot be told to: so long newcomers are still served.
 const STILL_COMING: Duration = Duration::from_millis(550);
 /// An answer that comes at the deadline of the longest class is still on its way for this long.
@@ -62,6 +62,16 @@
 /// Runs a daemon to its end. Errors are plain lines, and nothing listens then.
 pub fn run(options: Options) -> Result<(), Vec<String>> {
     let log = Log::process();
+    // The usual hook may look up every function of a backtrace, which takes a worker tenths of a second in which
+    // its other instances wait.
+    let told = log.clone();
+    std::panic::set_hook(Box::new(move |panic| {
+        let at = panic.location().map_or(String::new(), |at| format!(" at {}:{}", at.file(), at.line()));
+        let payload = panic.payload();
+        let text = payload.downcast_ref::<&str>().copied();
+        let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+        told.line(format!("panic{at}: {}", text.unwrap_or("no message")));
+    }));
     let fleet = fleet_file::load(&options.config);
     let lines = |faults: Vec<fleet_file::Fault>| faults.iter().map(ToString::to_string).collect::<Vec<_>>();
     if !options.take_over {
@@ -248,6 +258,8 @@
     pub worker: usize,
     task: AbortHandle,
     spec: InstanceSpec,
+    /// It has not let its listener go.
+    listens: bool,
     /// Its list is being asked for, and has changed again since.
     listing: bool,
     relist: bool,
@@ -393,6 +405,12 @@
             Note::Started(generation) => self.feed(Event::Started(generation)),
             Note::Told(generation, Told::Ready) => self.feed(Event::Ready(generation)),
             Note::Told(generation, Told::Listed) => self.keep_list(generation),
+            Note::Told(generation, Told::LetGo) => {
+                if let Some(life) = self.lives.get_mut(&generation).filter(|life| life.listens) {
+                    life.listens = false;
+                    self.listeners.give_back(&life.place);
+                }
+            }
             Note::List(generation, list) => self.listed(generation, list),
             Note::Ended(generation, ended) => {
                 let life = self.lives.remove(&generation);
@@ -405,7 +423,7 @@
                     },
                 ));
                 // Only now: whoever takes its place listens on the same socket.
-                if let Some(life) = life {
+                if let Some(life) = life.filter(|life| life.listens) {
                     self.listeners.give_back(&life.place);
                 }
             }
@@ -472,7 +490,9 @@
             Step::Abandon(generation) => {
                 if let Some(life) = self.lives.remove(&generation) {
                     life.task.abort();
-                    self.listeners.give_back(&life.place);
+                    if life.listens {
+                        self.listeners.give_back(&life.place);
+                    }
                 }
                 None
             }
@@ -537,7 +557,8 @@
         if !standby {
             log.line(format!("listening on {address}"));
         }
-        let life = Life { name, control, place, worker, task, spec, listing: false, relist: false };
+        let life =
+            Life { name, control, place, worker, task, spec, listens: true, listing: false, relist: false };
         self.lives.insert(generation, life);
         Ok(())
     }
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -23,7 +23,7 @@
 use crate::log::Log;
 use crate::messages::{Arrival, End, Final, Flight, Forward, FromClients, Outlet};
 use crate::servers::Servers;
-use crate::upstream::{Connection, FromUpstreams, Source, attempt, connect, probe};
+use crate::upstream::{Connection, FromUpstreams, Pool, Source, attempt, connect, probe};
 use crate::vitals::Vitals;
 
 /// The module is told this much less than the client waits: its last word must reach the client in time. An
@@ -46,6 +46,8 @@
     Discovery(SocketAddr),
     /// There are so many sidecars from now on, this one included.
     Sidecars(u32),
+    /// A successor needs the connections: keep none that is idle from now on.
+    Retire,
     /// Hand over the list of upstreams as it stands.
     List(oneshot::Sender<HostList>),
     /// Fail, as a fault in the code would make it fail. Only the rig and tests ask for this.
@@ -113,6 +115,8 @@
     Ready,
     /// The list has changed.
     Listed,
+    /// It has let its listener go: it accepts nobody any more.
+    LetGo,
 }
 
 /// What a driver is made of.
@@ -161,6 +165,8 @@
     next_timer: u64,
     /// Whether a sweep is to come.
     sweeping: bool,
+    /// Whether idle connections are closed at once.
+    retired: bool,
     probe_time: Duration,
     actions: Vec<Action>,
 }
@@ -198,6 +204,7 @@
             timers: BTreeMap::new(),
             next_timer: 0,
             sweeping: false,
+            retired: false,
             probe_time: Duration::from_secs_f64(settings.shortest_aim_ms() * PROBE_SHARE / 1e3),
             actions: Vec::new(),
             settings,
@@ -311,6 +318,10 @@
                 self.watch();
             }
             Happening::Order(Order::Sidecars(count)) => self.event(Event::Sidecars(count)),
+            Happening::Order(Order::Retire) => {
+                self.retired = true;
+                self.servers.pools().for_each(Pool::clear);
+            }
             Happening::Order(Order::List(reply)) => {
                 // Who asked may have gone.
                 let _ = reply.send(self.servers.list(self.seq));
@@ -561,7 +572,7 @@
     }
 
     fn put_back(&mut self, upstream: UpstreamId, life: u64, connection: Connection) {
-        let Some(server) = self.servers.get_mut(upstream) else { return };
+        let Some(server) = self.servers.get_mut(upstream).filter(|_| !self.retired) else { return };
         if server.life == life && server.listing.lifecycle == Lifecycle::Serving && connection.is_usable() {
             server.pool.put(connection);
             self.sweep_later();
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -150,20 +150,26 @@
 }
 
 /// Accepts clients until the end: when it is closing, none is open and none waits to be accepted. A client that
-/// comes when there are as many connections as may be takes the place of one that has no request open.
-pub async fn serve(listener: Arc<TcpListener>, front: Arc<Front>) {
+/// comes when there are as many connections as may be takes the place of one that has no request open. Once nobody
+/// waits to be accepted any more the listener is let go and `let_go` told, however long what is open may take: who
+/// comes then is to be refused by the system, and not to wait.
+pub async fn serve(listener: Arc<TcpListener>, front: Arc<Front>, let_go: impl FnOnce()) {
     let mut phase = front.phase.clone();
     let mut slots = Slots { epoch: Instant::now(), by_task: HashMap::new() };
     let mut connections = JoinSet::new();
+    let mut held = Some((listener, let_go));
     loop {
         let now = *phase.borrow_and_update();
         let closing = now >= Phase::Closing;
-        let accepting = (Phase::Open..Phase::HandedOver).contains(&now);
+        let accepting = held.is_some() && (Phase::Open..Phase::HandedOver).contains(&now);
+        if now == Phase::HandedOver {
+            release(&mut held);
+        }
         let room = front.connections.held() < front.connections.limit() + CLOSING;
         tokio::select! {
             biased;
             Some(ended) = connections.join_next_with_id() => forget(&mut slots, ended),
-            accepted = listener.accept(), if room && accepting => match accepted {
+            accepted = accept(held.as_ref().map(|(listener, _)| &**listener)), if room && accepting => match accepted {
                 Ok((stream, _)) => {
                     // Another generation may have taken the last place since: then this one is a little over.
                     let place = front.connections.take_beyond(CLOSING);
@@ -188,12 +194,29 @@
             },
             // All are busy, or closing already.
             () = sleep(ACCEPT_BACK_OFF), if !room && accepting => drop(slots.make_room()),
-            () = std::future::ready(()), if closing && connections.is_empty() => return,
+            // Nobody waits: else it would have been accepted.
+            () = std::future::ready(()), if closing && accepting && room => release(&mut held),
+            () = std::future::ready(()), if closing && held.is_none() && connections.is_empty() => return,
             changed = phase.changed(), if now < Phase::HandedOver => if changed.is_err() { return },
         }
     }
 }
 
+/// Lets the listener go, and tells so.
+fn release<F: FnOnce()>(held: &mut Option<(Arc<TcpListener>, F)>) {
+    if let Some((listener, let_go)) = held.take() {
+        drop(listener);
+        let_go();
+    }
+}
+
+async fn accept(listener: Option<&TcpListener>) -> std::io::Result<(TcpStream, std::net::SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Strikes off a connection that has ended. One that has panicked must not take the others with it.
 fn forget(slots: &mut Slots, ended: Result<(Id, ()), tokio::task::JoinError>) {
     let id = match ended {
--- a/crates/sidecar/src/instance.rs
+++ b/crates/sidecar/src/instance.rs
@@ -2,6 +2,7 @@
 //! listener and all that it may hold are handed to it. [`Instance::run`] is its whole life, and [`Control`] is
 //! how its owner reaches it, from any thread.
 
+use std::any::Any;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -90,6 +91,7 @@
     known: Option<HostList>,
     phase: watch::Sender<Phase>,
     wish: watch::Receiver<Wish>,
+    telling: Outlet<Told>,
 }
 
 /// The owner's hold on an instance. All calls return at once.
@@ -116,22 +118,25 @@
             budgets,
             vitals: vitals.clone(),
             log: log.clone(),
-            listener: listening,
+            listener: listening.clone(),
         });
         let (phase, phases) = watch::channel(if standby { Phase::Standby } else { Phase::Open });
         let told = Outlet::new(happenings.clone());
         let front = Arc::new(Front::new(names, phases, told, clients, vitals.clone(), log));
         let (wish, wishes) = watch::channel(if standby { Wish::Standby } else { Wish::Open });
-        let instance = Instance { driver, front, listener, known, phase, wish: wishes };
+        let instance = Instance { driver, front, listener, known, phase, wish: wishes, telling: listening };
         (instance, Control { happenings, wish: Arc::new(wish), vitals, longest })
     }
 
     /// Runs until it has drained or failed. When this future is dropped, everything that belongs to the instance
     /// ends with it: connections are closed as they are.
     pub async fn run(self) -> Ended {
-        let Instance { driver, front, listener, known, phase, mut wish } = self;
+        let Instance { driver, front, listener, known, phase, mut wish, telling } = self;
         let mut driver = Part(tokio::spawn(driver.run(known)));
-        let mut serving = Part(tokio::spawn(front::serve(listener, front)));
+        let let_go = move || {
+            telling.tell(Told::LetGo);
+        };
+        let mut serving = Part(tokio::spawn(front::serve(listener, front, let_go)));
         // When the present stage of a drain is over, and when all of it must be.
         let (mut linger, mut overdue): (Option<Instant>, Option<Instant>) = (None, None);
         loop {
@@ -216,6 +221,10 @@
             }
             taken
         });
+        if matches!(how, Drain::HandOver { .. }) {
+            // Both generations hold connections out of the same budget, and the successor has more use for them.
+            let _ = self.happenings.send(Happening::Order(Order::Retire));
+        }
     }
 
     /// Tells the module how many sidecars there are from now on.
@@ -281,7 +290,7 @@
 
     /// Answers.
     pub async fn run(self) {
-        front::serve(self.listener, self.front).await;
+        front::serve(self.listener, self.front, || ()).await;
     }
 }
 
@@ -309,12 +318,14 @@
     match ended {
         Ok(()) => format!("{part} has ended"),
         Err(error) => match error.try_into_panic() {
-            Ok(panic) => {
-                let text = panic.downcast_ref::<String>().map(String::as_str);
-                let text = text.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("no message");
-                format!("{part} has panicked: {text}")
-            }
+            Ok(panic) => format!("{part} has panicked: {}", panic_text(&*panic)),
             Err(error) => format!("{part} was ended: {error}"),
         },
     }
 }
+
+/// The message of a panic.
+fn panic_text(payload: &(dyn Any + Send)) -> &str {
+    let text = payload.downcast_ref::<String>().map(String::as_str);
+    text.or_else(|| payload.downcast_ref::<&str>().copied()).unwrap_or("no message")
+}
--- /dev/null
+++ b/crates/stage/src/bin/sagemast-rig/main.rs
@@ -0,0 +1,69 @@
+//! Scenarios on loopback that bring failures about and measure what they cost. Each prints a table, then one line of
+//! JSON with its figures, and the program ends with 1 if a bound does not hold.
+
+mod daemon_kill;
+mod daemon_restart;
+mod daemon_scale;
+mod report;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// Scenarios on loopback addresses.
+#[derive(Parser)]
+#[command(name = "sagemast-rig")]
+struct Cli {
+    /// Ends within 30 s.
+    #[arg(long, global = true)]
+    short: bool,
+    /// The program under test; the one beside this one if it is not given.
+    #[arg(long, global = true, value_name = "FILE")]
+    program: Option<PathBuf>,
+    #[command(subcommand)]
+    scenario: Scenario,
+}
+
+#[derive(Subcommand)]
+#[allow(clippy::enum_variant_names)] // they are what they are about
+enum Scenario {
+    /// 50 instances under steady load are restarted, changed, killed by panic and handed over at random.
+    DaemonRestart,
+    /// What 1, 10, 100 and 1,000 idle instances cost.
+    DaemonScale,
+    /// A daemon under load is killed outright ten times, with discovery down every other time.
+    DaemonKill,
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let beside = || Some(std::env::current_exe().ok()?.parent()?.join("sagemast"));
+    let Some(program) = cli.program.or_else(beside).filter(|program| program.is_file()) else {
+        eprintln!("sagemast-rig: build the program first (cargo build --release), or name it with --program");
+        return ExitCode::FAILURE;
+    };
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("sagemast-rig: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let report = runtime.block_on(async {
+        match cli.scenario {
+            Scenario::DaemonRestart => daemon_restart::run(&program, cli.short).await,
+            Scenario::DaemonScale => daemon_scale::run(&program, cli.short).await,
+            Scenario::DaemonKill => daemon_kill::run(&program, cli.short).await,
+        }
+    });
+    // What still runs of the stand-ins ends with the process.
+    runtime.shutdown_background();
+    match report {
+        Ok(report) => report.print(),
+        Err(reason) => {
+            eprintln!("sagemast-rig: {reason}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/stage/src/lib.rs
@@ -0,0 +1,11 @@
+//! Stand-ins on loopback addresses for tests, scenarios and the demo: upstreams that count what they have run,
+//! discovery, clients that know what was lost, and the program itself as a process. The scenarios are in
+//! `sagemast-rig`, which is never shipped.
+
+pub mod clients;
+pub mod discovery;
+pub mod effects;
+pub mod fleet;
+pub mod procfs;
+pub mod program;
+pub mod upstream;
