A connection that was just accepted gets its answer when the end begins; upgrades are answered

Cause of the first: a draining generation closed connections that had carried nothing yet at once, also those accepted a moment ago (front.rs, the change of phase). Those younger than 500 ms now wait for their first request. Cause of the second: an old process with nothing to drain ended before its client task wrote the answer, and for a moment both processes took control clients. Now the old one stops first, and waits for who has asked.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -13,7 +13,7 @@
 use sagemast_sidecar::log::Log;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::frames::{self, Ask, Kind, REQUEST_BYTES, Reply};
@@ -63,11 +63,12 @@
     Ok(listener)
 }
 
-/// Serves clients until the sender of `over` is used or dropped; then those that are served are served to their end.
+/// Serves clients until the sender of `over` is dropped. Then who has asked still gets the answer, and the others are
+/// cut.
 pub async fn serve(
     listener: Arc<UnixListener>,
     asked: mpsc::Sender<Asked>,
-    mut over: oneshot::Receiver<()>,
+    mut over: watch::Receiver<()>,
     log: Log,
 ) {
     let places = Arc::new(Semaphore::new(CLIENTS));
@@ -81,15 +82,17 @@
             (listener.accept().await, place)
         };
         let (accepted, place) = tokio::select! {
+            biased;
+            // Who comes from now on is for the process that this one hands over to.
+            _ = over.changed() => break,
             accepted = accepted => accepted,
-            _ = &mut over => break,
         };
         while clients.try_join_next().is_some() {}
         match accepted {
             Ok((stream, _)) => {
-                let asked = asked.clone();
+                let (asked, over) = (asked.clone(), over.clone());
                 clients.spawn(async move {
-                    client(stream, asked).await;
+                    client(stream, asked, over).await;
                     drop(place);
                 });
                 reserve = reserve.or_else(spare);
@@ -111,7 +114,7 @@
     fs::File::open("/dev/null").ok().map(OwnedFd::from)
 }
 
-async fn client(mut stream: UnixStream, asked: mpsc::Sender<Asked>) {
+async fn client(mut stream: UnixStream, asked: mpsc::Sender<Asked>, mut over: watch::Receiver<()>) {
     // The mode of the socket keeps others out; were its folder too open, this still does.
     let own = rustix::process::geteuid().as_raw();
     if stream.peer_cred().is_ok_and(|peer| peer.uid() != own && peer.uid() != 0) {
@@ -126,7 +129,11 @@
                 break line;
             }
             let mut chunk = [0; 4096];
-            let read = match timeout_at(silent_at, stream.read(&mut chunk)).await {
+            let read = tokio::select! {
+                read = timeout_at(silent_at, stream.read(&mut chunk)) => read,
+                _ = over.changed() => return,
+            };
+            let read = match read {
                 Ok(Ok(read)) if read > 0 => read,
                 _ => return,
             };
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -19,9 +19,9 @@
 use sagemast_sidecar::messages::Outlet;
 use tokio::net::UnixListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, oneshot};
-use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::config::{Fleet, InstanceSpec, Place, Process};
 use crate::control::{self, Asked};
@@ -50,6 +50,8 @@
 const STILL_COMING: Duration = Duration::from_millis(550);
 /// An answer that comes at the deadline of the longest class is still on its way for this long.
 const LAST_MARGIN: Duration = Duration::from_millis(640);
+/// Clients of the control socket that have asked get their answers within this.
+const LAST_ANSWERS: Duration = Duration::from_secs(1);
 /// How often workers are looked at.
 const WATCH: Duration = Duration::from_millis(500);
 
@@ -200,6 +202,7 @@
         heir: None,
         socket: None,
         control_over: None,
+        clients: None,
         stuck: BTreeSet::new(),
         options,
         fleet,
@@ -308,7 +311,8 @@
     /// Kept open for as long as this process runs.
     heir: Option<UnixStream>,
     pub socket: Option<Arc<UnixListener>>,
-    control_over: Option<oneshot::Sender<()>>,
+    control_over: Option<watch::Sender<()>>,
+    clients: Option<JoinHandle<()>>,
     stuck: BTreeSet<usize>,
     pub log: Log,
 }
@@ -367,6 +371,11 @@
                 }
             }
         }
+        self.control_over = None;
+        if let Some(clients) = self.clients.take() {
+            // Whoever has asked for this very end, or for a handover, still hears the answer.
+            let _ = timeout(LAST_ANSWERS, clients).await;
+        }
         if self.heir.is_none() {
             // The last client may have asked for this very end.
             let _ = std::fs::remove_file(&self.fleet.process.control);
@@ -381,9 +390,9 @@
     /// Takes clients on the control socket from now on.
     fn serve_clients(&mut self, clients: &mut Option<(Arc<UnixListener>, mpsc::Sender<Asked>)>) {
         let Some((socket, asked)) = clients.take() else { return };
-        let (over, is_over) = oneshot::channel();
+        let (over, is_over) = watch::channel(());
         self.control_over = Some(over);
-        tokio::spawn(control::serve(socket, asked, is_over, self.log.clone()));
+        self.clients = Some(tokio::spawn(control::serve(socket, asked, is_over, self.log.clone())));
         self.log.line(format!("control at {}", self.fleet.process.control.display()));
         let pid = std::process::id();
         notify(&format!("READY=1\nMAINPID={pid}"));
@@ -726,6 +735,11 @@
             }
             Ok(pair) => {
                 self.heir = Some(pair);
+                // The socket and the directory are the successor's: whoever hears the answer finds only that.
+                (self.control_over, self.socket) = (None, None);
+                if let Some(store) = self.store.take() {
+                    store.abandon();
+                }
                 let ends = self.upgrade.take().is_some_and(|mut upgrade| {
                     if let Some(reply) = upgrade.reply.take() {
                         let _ = reply.send(Reply::done(format!("process {pid} serves; this one drains")));
@@ -737,11 +751,6 @@
                     // Whoever ended this process meant the service.
                     let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
                 }
-                // The socket and the directory are the successor's.
-                (self.control_over, self.socket) = (None, None);
-                if let Some(store) = self.store.take() {
-                    store.abandon();
-                }
                 self.phase = Phase::Draining;
                 self.feed(Event::DrainAll);
             }
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::{Id, JoinSet};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::budget::Quota;
 use crate::headers::end_to_end;
@@ -42,6 +42,9 @@
 /// A connection is not closed for a newcomer before it has had no request open for this long: its last answer
 /// is on its way to the client, or its first request to the sidecar.
 const SETTLED: Duration = Duration::from_millis(100);
+/// When the end begins, a connection that has carried nothing may be about to: one that is younger than this still
+/// gets an answer, so that nobody is accepted and dropped.
+const ABOUT_TO: Duration = Duration::from_millis(500);
 /// So many connections more may be closing to make room for others.
 const CLOSING: usize = 8;
 /// Ids of requests are no longer than this; they are kept while the request is open.
@@ -232,7 +235,8 @@
     let mut phase = front.phase.clone();
     let now = *phase.borrow_and_update();
     let heard = AtomicBool::new(false);
-    let whole_by = Instant::now() + WHOLE;
+    let accepted = Instant::now();
+    let whole_by = accepted + WHOLE;
     let service = service_fn(|request| {
         let first = !heard.swap(true, Ordering::Relaxed);
         let front = front.clone();
@@ -253,6 +257,7 @@
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let mut ends_at = None;
     loop {
         tokio::select! {
             // First read what has come, then look at the phase: a request that waits in the socket when its
@@ -264,14 +269,20 @@
                 let now = *phase.borrow_and_update();
                 // A connection that has carried nothing yet is about to: it gets its one answer while
                 // clients may still come. The others are closed as soon as they carry nothing.
-                if changed.is_err() || now >= Phase::Closing || heard.load(Ordering::Relaxed) {
+                if changed.is_err() || heard.load(Ordering::Relaxed) {
                     connection.as_mut().graceful_shutdown();
+                } else if now >= Phase::Closing {
+                    ends_at = Some(accepted + ABOUT_TO);
                 }
                 if changed.is_err() {
                     let _ = connection.as_mut().await;
                     return;
                 }
             }
+            () = sleep_until(ends_at.unwrap_or(accepted)), if ends_at.is_some() => {
+                ends_at = None;
+                connection.as_mut().graceful_shutdown();
+            }
             () = slot.make_room.notified() => {
                 // A request may have come in this very moment: it is answered first.
                 if slot.free_since.load(Ordering::Relaxed) != BUSY {
--- a/crates/stage/src/program.rs
+++ b/crates/stage/src/program.rs
@@ -130,8 +130,10 @@
 
     /// Has it hand over to another process of a program.
     pub fn upgrade(&mut self, program: &Path) -> Result<(), String> {
+        let before = self.pid();
         self.ask(Ask::Upgrade { binary: program.display().to_string() })?;
-        let pid = until_some("the successor can be asked", || self.status().ok().map(|status| status.pid))?;
+        let answers = || self.status().ok().map(|status| status.pid).filter(|pid| *pid != before);
+        let pid = until_some("the successor can be asked", answers)?;
         self.heirs.push(pid);
         Ok(())
     }
@@ -171,6 +173,16 @@
 impl Drop for Daemon {
     fn drop(&mut self) {
         self.kill();
+        // A successor that nobody got to know of: it was started for this very file.
+        let file = self.file.display().to_string();
+        for process in std::fs::read_dir("/proc").into_iter().flatten().flatten() {
+            let line = std::fs::read(process.path().join("cmdline")).unwrap_or_default();
+            let words: Vec<_> = line.split(|byte| *byte == 0).map(String::from_utf8_lossy).collect();
+            let pid = process.file_name().to_string_lossy().parse();
+            if let (true, Ok(pid)) = (words.iter().any(|word| *word == file), pid) {
+                signal_to(pid, rustix::process::Signal::KILL);
+            }
+        }
     }
 }
 
