--- a/crates/cli/tests/daemon.rs
+++ b/crates/cli/tests/daemon.rs
@@ -198,6 +198,36 @@
     stage.check();
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_connection_that_was_accepted_just_before_a_handover_gets_its_answer() {
+    let stage = Stage::new(1, patient(8, 2.0), 1).await;
+    let daemon = blocking(|| stage.daemon());
+    let address = daemon.address("i0").unwrap();
+    let told = blocking(|| {
+        // A machine that was busy elsewhere meanwhile proves nothing: such a try does not count.
+        (0..50).find_map(|number| {
+            let begun = std::time::Instant::now();
+            let mut client = TcpStream::connect(address).unwrap();
+            client.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+            until("accepted", || daemon.instances().unwrap()["i0"].connections[0] == 1).unwrap();
+            let before = generation(&daemon, "i0");
+            daemon.ask(Ask::Restart { name: "i0".to_owned() }).unwrap();
+            until("taken over", || generation(&daemon, "i0") > before).unwrap();
+            let id = format!("{number:016x}");
+            let written = client.write_all(&sagemast_stage::clients::request(Class::Bill, &id, 5_000));
+            if begun.elapsed() > Duration::from_millis(300) {
+                return None;
+            }
+            let mut answer = String::new();
+            let read = written.and_then(|()| client.read_to_string(&mut answer));
+            Some((read.map_err(|error| error.to_string()), answer))
+        })
+    });
+    let (read, answer) = told.expect("one try of fifty was quick enough");
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{read:?}: {answer:?}");
+    assert!(answer.to_lowercase().contains("connection: close"), "it is its last: {answer}");
+}
+
 // --- Hard case 2 ------------------------------------------------------------------------------------------
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -209,11 +239,13 @@
         window: Duration::from_millis(1_500),
     };
     for count in [2, 50] {
-        // One core at 20 ms is 50 requests a second when it is warm, and 8 when it starts; 400 are asked for.
+        // One core at 20 ms is 50 requests a second when it is warm, and 8 when it starts; 1,000 are asked for.
         let nature = Nature { cold: Some(cold), ..patient(1, 20.0) };
-        let stage = Stage::new(1, nature, count).await;
+        let mut stage = Stage::new(1, nature, count).await;
+        // Without probes nobody sees the queue that all together make.
+        stage.file.settings = stage.file.settings.replace("probes = true", "probes = false");
         let daemon = blocking(|| stage.daemon());
-        let mut loads = stage.load(&daemon, 400.0 / count as f64, Instant::now() + Duration::from_secs(4));
+        let mut loads = stage.load(&daemon, 1_000.0 / count as f64, Instant::now() + Duration::from_secs(3));
         while loads.join_next().await.is_some() {}
         let (surge, book) = (stage.effects.worst_surge(), stage.tally.book().clone());
         assert!(surge > 0.0 && surge <= 1.0, "{count} instances: {surge} of what it may be sent");
--- a/crates/stage/src/fleet.rs
+++ b/crates/stage/src/fleet.rs
@@ -36,6 +36,8 @@
     pub budgets: (usize, usize),
     /// Descriptors of each instance, unless it says otherwise.
     pub sockets: usize,
+    /// `[template.settings]`.
+    pub settings: String,
     /// Where discovery is, unless an instance says otherwise.
     pub discovery: SocketAddr,
     /// The instances: name, address, and further lines.
@@ -52,6 +54,7 @@
             lifecycle: String::new(),
             budgets: (16_000, 4_000),
             sockets: 64,
+            settings: SETTINGS.to_owned(),
             discovery,
             instances: Vec::new(),
         }
@@ -82,8 +85,8 @@
         let mut text = format!(
             "[daemon]\nworkers = {}\ncontrol = \"control.sock\"\n{state}\n[budgets]\nmemory_mb = 16000\n\
              descriptors = {descriptors}\nconnections_per_upstream = {connections}\n\n[lifecycle]\n{}\n\n\
-             [template]\ndiscovery = \"{}\"\nsockets = {}\nmemory_mb = 4\n\n[template.settings]{SETTINGS}\n",
-            self.workers, self.lifecycle, self.discovery, self.sockets
+             [template]\ndiscovery = \"{}\"\nsockets = {}\nmemory_mb = 4\n\n[template.settings]{}\n",
+            self.workers, self.lifecycle, self.discovery, self.sockets, self.settings
         );
         for (name, listen, more) in &self.instances {
             // Writing to a string does not fail.
