sagemast demo: a daemon between stand-in upstreams and clients in one process

A test for an attempt that is given up before its task had a first turn: it is told as never sent and nothing is written. Seen to fail without the check in attempt(); a blocking read in it hung the runtime, it reads by await now.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The program: without a subcommand the sidecar that the platform starts, with one a daemon, its client, and tools.
 
 mod ctl;
+mod demo;
 mod sidecar;
 
 use std::path::{Path, PathBuf};
@@ -42,6 +43,8 @@
     },
     /// Ask or tell a running daemon.
     Ctl(ctl::Arguments),
+    /// Show it at work: a daemon between stand-in upstreams and clients, in this process.
+    Demo(demo::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -57,6 +60,7 @@
             done(supervisor::run(Options { config, take_over, allow_faults }), &log)
         }
         Some(Command::Ctl(arguments)) => ctl::run(arguments),
+        Some(Command::Demo(arguments)) => demo::run(&arguments),
     }
 }
 
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -375,3 +375,51 @@
         self.idle.is_empty()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::sync::Mutex;
+
+    use tokio::io::AsyncReadExt;
+
+    use super::*;
+    use crate::budget::Budgets;
+
+    #[tokio::test]
+    async fn what_was_given_up_before_its_first_turn_is_not_written() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let dial = listener.local_addr().unwrap();
+        let until = Instant::now() + Duration::from_secs(30);
+        let permit = Budgets::of(1).permit(dial).unwrap();
+        let connection = Connection::open(dial, until, permit).await.unwrap();
+        let (request, attempt_no) = (RequestId(1), AttemptNo(0));
+        let flight = Flight { request, attempt: attempt_no, upstream: UpstreamId(1), life: 0, until };
+        let told = Arc::new(Mutex::new(Vec::new()));
+        let heard = told.clone();
+        let outlet = Outlet::to(move |message| {
+            heard.lock().unwrap().push(message);
+            true
+        });
+        let (give_up, given_up) = oneshot::channel();
+        drop(give_up);
+        let outgoing = Request::get("/fetch").header("host", "x").body(Full::new(Bytes::new())).unwrap();
+        attempt(connection, outgoing, 0, flight, given_up, Log::process(), outlet).await;
+        let messages = std::mem::take(&mut *told.lock().unwrap());
+        let ends: Vec<bool> = messages
+            .iter()
+            .filter_map(|message| match message {
+                FromUpstreams::Ended { end: End::Outcome(outcome, None), .. } => {
+                    Some(*outcome == Outcome::NotSent)
+                }
+                _ => None,
+            })
+            .collect();
+        assert_eq!(ends, [true], "it is told that it never left");
+        drop(messages);
+        let mut written = Vec::new();
+        let (mut accepted, _) = listener.accept().await.unwrap();
+        // Its other end closes with the message that gave the connection back.
+        accepted.read_to_end(&mut written).await.unwrap();
+        assert!(written.is_empty(), "{}", String::from_utf8_lossy(&written));
+    }
+}
