Saves carry bodies, by PUT where a class says so; stand-in clients repeat nothing that may have run

Now no stand-in sends again what was written whole; what ended so is listed by id, and the account of effects tells which of them ran (bound 0 in daemon-restart, where nothing is killed).

Saves were GETs without a body. A class with put = true takes them as PUT (idempotent, RFC 9110 9.2.2); refused at load for a class that is not repeatable, and off unless configured, so the platform's classes answer 405 as before. The stand-in upstream looks whether the 4 KiB came whole.

--- a/crates/cli/src/ctl.rs
+++ b/crates/cli/src/ctl.rs
@@ -35,7 +35,7 @@
                         5 refused, 6 faulty configuration (the old one stays), 7 not in time"
 )]
 pub struct Arguments {
-    /// The control socket.
+    /// The control socket; the usual one of this user if neither it nor a fleet file is named.
     #[arg(long, value_name = "PATH", env = "SAGEMAST_CONTROL", conflicts_with = "config", global = true)]
     socket: Option<PathBuf>,
     /// The fleet file, to take the socket's path from.
@@ -181,9 +181,7 @@
                 Err((BAD_CONFIG, lines.join("\n")))
             }
         },
-        (None, None) => {
-            Err((2, "say which daemon: --socket PATH, --config FILE, or SAGEMAST_CONTROL".to_owned()))
-        }
+        (None, None) => Ok(control::usual(|name| std::env::var_os(name))),
     }
 }
 
--- a/crates/cli/tests/sidecar.rs
+++ b/crates/cli/tests/sidecar.rs
@@ -290,6 +290,34 @@
     assert_eq!(Client::to(sidecar.address).ask("log").status(), 200);
 }
 
+/// A save carries a body and is safe to repeat. Only a class that says so takes one: the platform's refuse it.
+#[test]
+fn a_save_is_put_with_its_body_and_put_again_after_a_reset() {
+    let said = SETTINGS.replacen("\"name\":\"fetch\"", "\"name\":\"fetch\",\"put\":true", 1);
+    let (first, second) = (Deed::Close, Deed::ok("served"));
+    let deeds = std::sync::Mutex::new(vec![second, first]);
+    let upstream = Upstream::new(move |m| match m.line.starts_with("PUT") {
+        true => deeds.lock().unwrap().pop().unwrap_or(Deed::ok("late")),
+        false => Deed::ok("served"),
+    });
+    let save = request("fetch", 5_000).replacen("GET", "PUT", 1).replacen(
+        "\r\n\r\n",
+        "\r\nContent-Length: 5\r\n\r\nDRAFT",
+        1,
+    );
+    let (sidecar, _discovery) = Sidecar::with_settings(&[&upstream], &said);
+    let mut client = Client::to(sidecar.address);
+    client.write(save.as_bytes());
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    let saves = upstream.requests();
+    assert_eq!(saves.iter().map(|m| m.body.as_slice()).collect::<Vec<_>>(), [b"DRAFT", b"DRAFT"]);
+
+    let (platform, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(platform.address);
+    client.write(save.as_bytes());
+    assert_eq!(client.read().expect("an answer").status(), 405);
+}
+
 #[test]
 fn what_does_not_come_whole_is_closed() {
     let upstream = Upstream::new(|_| Deed::ok("served"));
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -1,11 +1,12 @@
 //! The control socket: takes requests from the operator's clients, hands them to the supervisor one at a time, and
 //! writes its answers back. A peer that is slow, silent or talks nonsense is cut; it reaches nobody else.
 
+use std::ffi::OsString;
 use std::fs;
 use std::io;
 use std::os::fd::OwnedFd;
 use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +40,20 @@
     pub reply: oneshot::Sender<Reply>,
 }
 
+/// Where the socket is unless somebody says otherwise: in the folder that a service manager made for the daemon, else
+/// in the user's own for sockets (XDG Base Directory Specification), else where the unit file has that folder made.
+/// The environment is passed in.
+pub fn usual(environment: impl Fn(&str) -> Option<OsString>) -> PathBuf {
+    // Several folders may be listed; the first is as good as any (systemd.exec(5)).
+    let listed = environment("RUNTIME_DIRECTORY").map(|all| all.to_string_lossy().into_owned());
+    let first = listed.as_deref().and_then(|all| all.split(':').next()).map(PathBuf::from);
+    let own = || environment("XDG_RUNTIME_DIR").map(|folder| PathBuf::from(folder).join("sagemast"));
+    // Both specifications speak of absolute paths; another would depend on where the program stands.
+    let folder =
+        first.filter(|folder| folder.is_absolute()).or_else(|| own().filter(|own| own.is_absolute()));
+    folder.unwrap_or_else(|| PathBuf::from("/run/sagemast")).join("control.sock")
+}
+
 /// Binds the socket, open to its owner alone. One that nobody listens on is left from a daemon that was killed, and
 /// is replaced.
 pub fn bind(path: &Path) -> Result<std::os::unix::net::UnixListener, String> {
@@ -188,3 +203,24 @@
     }
     serde_json::from_slice(&line).map_err(|error| format!("the daemon at {shown} answered nonsense: {error}"))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_usual_socket_is_where_the_environment_has_sockets() {
+        let usual = |set: &[(&str, &str)]| {
+            let path = usual(|name| set.iter().find(|(key, _)| *key == name).map(|(_, value)| value.into()));
+            path.display().to_string()
+        };
+        assert_eq!(usual(&[]), "/run/sagemast/control.sock");
+        assert_eq!(usual(&[("XDG_RUNTIME_DIR", "/u/7")]), "/u/7/sagemast/control.sock");
+        let both = [("XDG_RUNTIME_DIR", "/u/7"), ("RUNTIME_DIRECTORY", "/r/a:/r/b")];
+        assert_eq!(usual(&both), "/r/a/control.sock");
+        assert_eq!(
+            usual(&[("XDG_RUNTIME_DIR", "u"), ("RUNTIME_DIRECTORY", "")]),
+            "/run/sagemast/control.sock"
+        );
+    }
+}
--- a/crates/daemon/src/fleet_file.rs
+++ b/crates/daemon/src/fleet_file.rs
@@ -18,6 +18,7 @@
 use toml::de::{DeTable, DeValue};
 
 use crate::config::{Fleet, InstanceSpec, LEAST_SOCKETS, Process};
+use crate::control;
 use crate::ledger::Demand;
 use crate::plan::{Name, Rules};
 
@@ -295,7 +296,7 @@
             faults.push(doc.fault(key.span(), name, text));
         }
     }
-    let fleet = Fleet { process: process?, instances };
+    let fleet = Fleet { process, instances };
     whole(&fleet, &top, faults);
     Some(fleet)
 }
@@ -323,7 +324,7 @@
     top: &Layer<'t, 'i>,
     empty: &'t DeTable<'i>,
     faults: &mut Vec<Fault>,
-) -> (Option<Process>, Option<(PathBuf, Range<usize>)>) {
+) -> (Process, Option<(PathBuf, Range<usize>)>) {
     let daemon = section(top, "daemon", empty, faults);
     let mut reader = Reader::new(vec![daemon], faults);
     let cores = std::thread::available_parallelism().map_or(1, |cores| cores.get() as u64);
@@ -332,7 +333,7 @@
     let state = reader.path("state").map(|(path, ..)| path);
     let folder = reader.path("instances").map(|(path, _, span)| (path, span));
     match &control {
-        None => reader.missing("control"),
+        None => {}
         Some((path, layer, span)) if path.as_os_str().len() > SOCKET_PATH_BYTES => {
             let text = format!("the path is longer than the {SOCKET_PATH_BYTES} bytes of a Unix socket");
             reader.faults.push(layer.doc.fault(span.clone(), layer.key("control"), text));
@@ -365,16 +366,16 @@
     let drain_at_most = Duration::from_millis(reader.number("drain_at_most_ms", 1..=HOUR_MS, 30_000));
     let upgrade_within = Duration::from_millis(reader.number("upgrade_within_ms", 1..=HOUR_MS, 30_000));
     reader.finish();
-    let process = control.map(|(control, ..)| Process {
+    let process = Process {
         workers,
-        control,
+        control: control.map_or_else(|| control::usual(|name| std::env::var_os(name)), |(path, ..)| path),
         state,
         budget,
         connections_per_upstream,
         rules,
         drain_at_most,
         upgrade_within,
-    });
+    };
     (process, folder)
 }
 
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -47,6 +47,20 @@
     dedup_scope: WireScope,
     #[serde(default)]
     window: f64,
+    #[serde(default)]
+    put: bool,
+}
+
+/// What requests of a class look like.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ClassForm {
+    /// The first part of the path.
+    pub name: String,
+    /// What running one twice would do.
+    pub effect: Effect,
+    /// Whether one that is safe to repeat may also come as PUT, with a body (RFC 9110, 9.2.2: idempotent). The
+    /// platform's own classes never do.
+    pub put: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -172,6 +186,10 @@
             if self.classes[..number].iter().any(|other| other.name == class.name) {
                 fault(format!("classes[{number}].name"), format!("two classes are named {:?}", class.name));
             }
+            if class.put && class.effect != WireEffect::Repeatable {
+                let text = "only a class that is repeatable may come as PUT; leave it out".to_owned();
+                fault(format!("classes[{number}].put"), text);
+            }
             let figures =
                 [("aim", class.aim), ("hard_limit", class.hard_limit), ("importance", class.importance)];
             for (key, value) in figures.into_iter().filter(|(_, value)| !sound(*value)) {
@@ -198,9 +216,14 @@
         faults
     }
 
-    /// Names and effects of the classes, by class id.
-    pub fn classes(&self) -> Vec<(String, Effect)> {
-        self.classes.iter().map(|class| (class.name.clone(), class.class().effect)).collect()
+    /// The forms of the classes, by class id.
+    pub fn classes(&self) -> Vec<ClassForm> {
+        let form = |class: &WireClass| ClassForm {
+            name: class.name.clone(),
+            effect: class.class().effect,
+            put: class.put,
+        };
+        self.classes.iter().map(form).collect()
     }
 
     /// Names of the tenants, by tenant id.
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -16,6 +16,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sagemast_decide::api::*;
+use sagemast_decide::settings::ClassForm;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::{Id, JoinSet};
@@ -72,7 +73,7 @@
 /// What class and tenant names stand for.
 pub struct Names {
     /// By class id.
-    pub classes: Vec<(String, Effect)>,
+    pub classes: Vec<ClassForm>,
     /// By tenant id.
     pub tenants: Vec<String>,
 }
@@ -389,7 +390,7 @@
 fn check(request: &Request<Incoming>, names: &Names) -> Result<Checked, Malformed> {
     let bad = |reason| (StatusCode::BAD_REQUEST, reason);
     let first = request.uri().path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    let Some(class) = names.classes.iter().position(|(name, _)| name == first) else {
+    let Some(class) = names.classes.iter().position(|form| form.name == first) else {
         return Err((StatusCode::NOT_FOUND, "no such path"));
     };
     let target = request.uri().path_and_query().map_or("", |target| target.as_str());
@@ -415,9 +416,11 @@
         Some(_) => {}
     }
     let key = single(headers, "idempotency-key")?;
-    match (request.method(), names.classes[class].1) {
+    let form = &names.classes[class];
+    match (request.method(), form.effect) {
         (&Method::GET, Effect::Repeatable) if length > 0 => return Err(bad("GET has no body")),
         (&Method::GET, Effect::Repeatable) => {}
+        (&Method::PUT, Effect::Repeatable) if form.put => {}
         // Without its key upstreams could not drop a repeat.
         (&Method::POST, Effect::ByKey { .. }) if key.is_none_or(str::is_empty) => {
             return Err(bad("Idempotency-Key is missing"));
--- a/crates/stage/src/bin/sagemast-rig/daemon_kill.rs
+++ b/crates/stage/src/bin/sagemast-rig/daemon_kill.rs
@@ -99,7 +99,7 @@
     report.figure("served", book.served as f64);
     report.figure("refused", book.refused.iter().sum::<u64>() as f64);
     report.figure("failed", book.failed as f64);
-    report.figure("held when killed", book.lost as f64);
+    report.figure("held when killed", (book.lost as usize + book.unanswered.len()) as f64);
     let undone = book.done.iter().filter(|id| effects.of(id) == 0).count();
     report.bound("answered and undone", undone as f64, 0.0);
     let doubled = effects.doubled(book.once.iter().map(String::as_str));
--- a/crates/stage/src/bin/sagemast-rig/daemon_restart.rs
+++ b/crates/stage/src/bin/sagemast-rig/daemon_restart.rs
@@ -134,7 +134,9 @@
     report.bound("p99 ratio", book.quantile_ms(1, 0.99) / book.quantile_ms(0, 0.99), 1.5);
     report.figure("connections turned away", book.turned_away as f64);
     report.figure("kept out", book.kept_out as f64);
-    report.figure("crossed a close", book.crossed as f64);
+    report.figure("crossed a close", book.unanswered.len() as f64);
+    let ran = book.unanswered.iter().filter(|id| effects.of(id) > 0).count();
+    report.bound("ran and unanswered", ran as f64, 0.0);
     let kinds =
         ["restarts", "stops and starts", "changes in place", "successors", "panics", "upgrades", "upstreams"];
     kinds.iter().zip(done).for_each(|(kind, count)| report.figure(kind, f64::from(count)));
--- a/crates/stage/src/clients.rs
+++ b/crates/stage/src/clients.rs
@@ -19,6 +19,8 @@
 const REFUSED: Duration = Duration::from_millis(10);
 /// Times are told apart up to a minute.
 const LONGEST_US: u64 = 60_000_000;
+/// The body of a save: a page of a transcript.
+pub const DRAFT_BYTES: usize = 4 << 10;
 /// Connections that are kept while they are idle; the oldest go first.
 const KEPT: usize = 32;
 
@@ -85,8 +87,9 @@
     pub turned_away: u64,
     /// Requests for which no connection came up in time: not taken.
     pub kept_out: u64,
-    /// Sent once more, since an idle connection was closed as they were written.
-    pub crossed: u64,
+    /// Ids of those that ended with a used connection before a byte of an answer had come: they may have crossed
+    /// its close, or may have run. Whoever holds the account of effects tells; they are never sent again.
+    pub unanswered: Vec<String>,
     /// Ids that must not have run twice.
     pub once: HashSet<String>,
     /// Ids of those that were served.
@@ -107,7 +110,7 @@
             wrong: 0,
             turned_away: 0,
             kept_out: 0,
-            crossed: 0,
+            unanswered: Vec::new(),
             once: HashSet::new(),
             done: HashSet::new(),
             times: [(); 3].map(|()| {
@@ -204,7 +207,6 @@
         }
         let begun = Instant::now();
         let until = begun + self.timeout;
-        let mut may_cross = true;
         loop {
             let (stream, used) = match self.connection(until).await {
                 Some(connection) => connection,
@@ -220,13 +222,10 @@
             match went {
                 // Nothing was taken: the same request goes over another connection.
                 Went::Unsent => continue,
-                // It crossed the close of an idle connection: it is sent once more on a new one.
-                Went::Nothing if used && may_cross => {
-                    book.crossed += 1;
-                    may_cross = false;
+                Went::Nothing if used => {
+                    book.unanswered.push(id);
                     drop(book);
                     self.hang_up();
-                    continue;
                 }
                 Went::Nothing => {
                     book.taken += 1;
@@ -303,9 +302,11 @@
 pub fn request(class: Class, id: &str, left_ms: u64) -> Vec<u8> {
     let name = class.name();
     let (method, key, body) = match class {
-        Class::Fetch | Class::Save => ("GET", String::new(), ""),
-        Class::Errata => ("POST", format!("Idempotency-Key: key-{id}\r\n"), "an entry"),
-        Class::Bill => ("POST", String::new(), "a bill"),
+        Class::Fetch => ("GET", String::new(), String::new()),
+        // The stand-in upstream looks whether it came whole.
+        Class::Save => ("PUT", String::new(), format!("{:>DRAFT_BYTES$}", id)),
+        Class::Errata => ("POST", format!("Idempotency-Key: key-{id}\r\n"), "an entry".to_owned()),
+        Class::Bill => ("POST", String::new(), "a bill".to_owned()),
     };
     let length = if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
     format!(
--- a/crates/stage/src/fleet.rs
+++ b/crates/stage/src/fleet.rs
@@ -12,7 +12,7 @@
 kinds = ["std"]
 classes = [
     { name = "page-fetch", effect = "repeatable", aim = 500.0, hard_limit = 2000.0, importance = 3.0 },
-    { name = "draft-save", effect = "repeatable", aim = 500.0, hard_limit = 2000.0, importance = 3.0 },
+    { name = "draft-save", effect = "repeatable", put = true, aim = 500.0, hard_limit = 2000.0, importance = 3.0 },
     { name = "errata-log", effect = "by_key", dedup_scope = "cell", window = 2000.0, aim = 500.0, hard_limit = 2000.0, importance = 3.0 },
     { name = "copy-bill", effect = "once", aim = 500.0, hard_limit = 2000.0, importance = 2.0 },
 ]
--- a/crates/stage/src/upstream.rs
+++ b/crates/stage/src/upstream.rs
@@ -12,13 +12,14 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
+use crate::clients::DRAFT_BYTES;
 use crate::effects::Effects;
 
 /// Utilisation is reported as a mean over about this time.
@@ -258,8 +259,13 @@
         |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
     let (id, key) = (text("x-request-id"), text("idempotency-key"));
     let Some(id) = id else { return plain(StatusCode::NOT_FOUND, "no id".to_owned()) };
-    if request.into_body().collect().await.is_err() {
+    let put = request.method() == Method::PUT;
+    let Ok(body) = request.into_body().collect().await else {
         return plain(StatusCode::BAD_REQUEST, "the body is broken".to_owned());
+    };
+    let body = body.to_bytes();
+    if put && (body.len() != DRAFT_BYTES || !body.ends_with(id.as_bytes())) {
+        return plain(StatusCode::BAD_REQUEST, "not the body of this save".to_owned());
     }
     state.arrived();
     // A task of its own: what has begun is not stopped by a connection that closes.
