--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -4,11 +4,13 @@
 //! utilisation (m+1)/κ. Read on in the order a request meets it: arrival, survey, draw, send, outcome; then
 //! reports, health, cold starts, the list.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use oorandom::Rand64;
+use rustc_hash::FxHashMap;
 
 use crate::api::*;
+use crate::fleet::{Fleet, Looks, Reach, Slot};
 use crate::state::*;
 
 /// A report older than this is renewed when its server is drawn: about one service time.
@@ -81,14 +83,25 @@
 /// Discovery is asked within this share of the time in which it must be; doubles with each failure.
 const ASK_OVER: f64 = 0.25;
 
+/// So many servers are looked at for a request at most. Up to that many the draw is exact: every pair with
+/// room is as likely as any other. Among more, one is missed where a share `f` has room by (1 - f)^LOOKS.
+const LOOKS: usize = 24;
+/// A server that says that it holds more has sent nonsense.
+const MOST_IN_FLIGHT: f64 = 1e9;
+
 /// The decision module of one sidecar. The same seed, settings and events give the same actions.
 #[derive(Debug)]
 pub struct Balancer {
     settings: Settings,
     rng: Rand64,
     now: Millis,
-    requests: BTreeMap<RequestId, Held>,
-    upstreams: BTreeMap<UpstreamId, Upstream>,
+    requests: FxHashMap<RequestId, Held>,
+    upstreams: Fleet,
+    /// Sends that have not ended: their number in the books of their server. And the next number.
+    sends: FxHashMap<(RequestId, AttemptNo), (u64, UpstreamId)>,
+    next_send: u64,
+    /// Which requests wait for a server's probe.
+    waiting: BTreeSet<(UpstreamId, RequestId)>,
     seen: Learnt,
 }
 
@@ -102,15 +115,24 @@
             settings,
             rng: Rand64::new(u128::from(seed)),
             now: 0.0,
-            requests: BTreeMap::new(),
-            upstreams: BTreeMap::new(),
+            requests: FxHashMap::default(),
+            upstreams: Fleet::default(),
+            sends: FxHashMap::default(),
+            next_send: 1,
+            waiting: BTreeSet::new(),
             seen,
         }
     }
 
+    /// How many times a server was looked at so far: what draws have cost, the same on any machine.
+    pub fn looks(&self) -> u64 {
+        self.upstreams.looks
+    }
+
     /// Takes in one event and appends the actions that answer it.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        self.upstreams.advance(self.now);
         match event {
             Event::Arrived { request, class, tenant, time_left } => {
                 self.arrived(request, Held::new(class, tenant, self.now, time_left.max(0.0)), out)
@@ -148,19 +170,19 @@
     /// Sends a request to the best place there is, or ends it.
     fn place(&mut self, request: RequestId, out: &mut Vec<Action>) {
         let Some(held) = self.requests.get(&request).cloned() else { return };
-        let candidates = self.survey(&held);
-        let chosen = self.draw(&candidates, &held, out);
+        let drawn = self.draw(&held, out);
+        let (chosen, again) = (drawn.map(|(pair, _)| pair), drawn.is_some_and(|(_, again)| again));
         // On old readings, sidecars that send seldom crowd onto the same servers, or refuse what has room.
         if let Some(pair) = chosen.filter(|pair| pair.iter().any(|c| c.unsure)) {
-            return self.hold(request, pair, out);
+            return self.hold(request, pair, again, out);
         }
         let refused = f64::from(u8::from(chosen.is_none()));
         self.seen.refused += SMOOTH_ALL * (refused - self.seen.refused);
         let class = &mut self.seen.service[held.class.0];
         class.refused += SMOOTH_ALL * (refused - class.refused);
         let by_use = chosen.map(|[a, b]| if b.projected < a.projected { [b, a] } else { [a, b] });
-        match by_use.into_iter().flatten().find(|c| self.admits(c, held.class)) {
-            Some(chosen) => self.send(request, chosen, candidates.len() > 1, out),
+        match by_use.into_iter().flatten().find(|c| self.admits(c, &held, again)) {
+            Some(chosen) => self.send(request, chosen, out),
             None => self.give_up(request, out),
         }
     }
@@ -173,36 +195,49 @@
     /// has just started. So what goes to a cold one is kept to an amount as well: an equal part of its
     /// allowance for each sidecar. A part that never comes to one request is a chance of one instead, spent
     /// whether or not it wins.
-    fn admits(&mut self, to: &Candidate, class: ClassId) -> bool {
+    fn admits(&mut self, to: &Candidate, held: &Held, again: bool) -> bool {
         if to.warmth >= 1.0 {
             return true;
         }
-        let Some(kappa) = self.upstreams.get(&to.id).map(|upstream| self.kappa(upstream)) else {
+        let (class, odds) = (held.class, if again { held.odds } else { self.odds(held) });
+        let Some(kappa) = self.upstreams.get(to.id).map(|upstream| self.kappa(upstream)) else {
             return false;
         };
         let (now, safety, cost) = (self.now, &self.settings.safety, self.seen.service[class.0].time.max(1.0));
         let multiple = safety.fall_multiple * to.warmth;
         // Where there is no room elsewhere, more requests come than servers can carry, and more to this one.
-        let share = COLD_MARGIN * multiple / 2.0 * to.odds * (1.0 - self.seen.refused);
+        let share = COLD_MARGIN * multiple / 2.0 * odds * (1.0 - self.seen.refused);
         let allowance = multiple * kappa / f64::from(self.settings.sidecars.max(1));
-        let Some(upstream) = self.upstreams.get_mut(&to.id) else { return false };
-        let earned = upstream.cold_credit + COLD_RATE * allowance * (now - upstream.cold_at);
         let most = COLD_SAVED * allowance * safety.fall;
-        let credit = earned.min(most);
         let whole = most >= cost;
-        let chance = share.min(if whole { (credit / cost).floor() } else { credit / cost });
-        let won = self.rng.rand_float() < chance;
-        let spent = if whole { f64::from(u8::from(won)) } else { chance };
-        (upstream.cold_credit, upstream.cold_at) = (credit - spent * cost, now);
-        won
+        let luck = self.rng.rand_float();
+        let spend = |upstream: &mut Upstream| {
+            let earned = upstream.cold_credit + COLD_RATE * allowance * (now - upstream.cold_at);
+            let credit = earned.min(most);
+            let chance = share.min(if whole { (credit / cost).floor() } else { credit / cost });
+            let won = luck < chance;
+            let spent = if whole { f64::from(u8::from(won)) } else { chance };
+            (upstream.cold_credit, upstream.cold_at) = (credit - spent * cost, now);
+            won
+        };
+        self.upstreams.change(to.id, spend).unwrap_or(false)
     }
 
     /// Waits for the probes of a pair. Timers are numbered in 63 bits: two requests may share one.
-    fn hold(&mut self, request: RequestId, pair: [Candidate; 2], out: &mut Vec<Action>) {
+    fn hold(&mut self, request: RequestId, pair: [Candidate; 2], again: bool, out: &mut Vec<Action>) {
+        let Some(known) = self.requests.get(&request) else { return };
+        // What a cold one was drawn from is told by how things stand at the draw.
+        let odds = match pair.iter().any(|c| c.warmth < 1.0) {
+            true if !again => self.odds(&known.clone()),
+            _ => known.odds,
+        };
         let Some(held) = self.requests.get_mut(&request) else { return };
-        (held.pair, held.odds, held.holds) = (Some(pair.map(|c| c.id)), pair[0].odds, held.holds + 1);
+        (held.odds, held.holds) = (odds, held.holds + 1);
         let at = self.now + HOLD_FOR * self.settings.classes[held.class.0].aim;
         out.push(Action::WakeAt { at: at.min(held.deadline), token: request.0 >> 1 });
+        let before = held.pair.replace(pair.map(|c| c.id));
+        self.wait_no_more(request, before);
+        self.waiting.extend(pair.map(|c| (c.id, request)));
     }
 
     /// Goes on with what is held until this timer.
@@ -243,7 +278,7 @@
 
     /// Ends a request: refused where that is safe to say, else failed.
     fn give_up(&mut self, request: RequestId, out: &mut Vec<Action>) {
-        let Some(held) = self.requests.remove(&request) else { return };
+        let Some(held) = self.end(request) else { return };
         let safe = match self.settings.classes[held.class.0].effect {
             Effect::Repeatable | Effect::ByKey { scope: Scope::All, .. } => true,
             Effect::ByKey { .. } | Effect::Once => !held.tries.iter().any(|t| t.may_have_run),
@@ -257,55 +292,75 @@
         }
     }
 
+    /// Takes a request off the books.
+    fn end(&mut self, request: RequestId) -> Option<Held> {
+        let held = self.requests.remove(&request)?;
+        self.wait_no_more(request, held.pair);
+        Some(held)
+    }
+
+    fn wait_no_more(&mut self, request: RequestId, pair: Option<[UpstreamId; 2]>) {
+        for id in pair.into_iter().flatten() {
+            self.waiting.remove(&(id, request));
+        }
+    }
+
     // --- The survey of servers ---------------------------------------------------------------
 
-    /// The servers a request may go to now, each with its projected utilisation and expected answer time.
-    fn survey(&self, held: &Held) -> Vec<Candidate> {
-        let service = self.seen.service[held.class.0].time;
-        let means = Means::of(self.upstreams.values(), self.now - STALE);
-        let spare = self.aim_left(held) > 2.0 * HOLD_FOR * self.settings.classes[held.class.0].aim;
-        let may_hold = self.settings.limits.probes && held.holds < HOLDS && spare;
-        let mut candidates = Vec::with_capacity(self.upstreams.len());
-        for (&id, upstream) in &self.upstreams {
-            if !upstream.serving || !self.may_reach(held, upstream) {
-                continue;
-            }
-            let (in_flight, kappa) = (self.in_flight(upstream, &means), self.kappa(upstream));
-            let warmth = upstream.warmth(self.now, &self.settings.safety);
-            let slowness = self.slowness(upstream) / warmth;
-            let depth = ((in_flight + 1.0) / kappa).max(1.0);
-            candidates.push(Candidate {
-                id,
-                near: upstream.zone == self.settings.zone,
-                unsure: may_hold && self.now - upstream.reported_at > HOLD_AFTER * service,
-                // One that has just failed this request is the likeliest to fail it again.
-                healthy: self.takes_part(upstream) && held.tries.iter().all(|t| t.upstream != id),
-                projected: (in_flight + 1.0) / kappa * slowness,
-                depth,
-                // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
-                idle: in_flight + 1.0 <= (IDLE * kappa).max(2.5 - IDLE_CROWDED * self.seen.refused),
-                wait: service * slowness * depth,
-                warmth,
-                odds: 1.0,
-            });
-        }
-        candidates
-    }
-
-    /// Whether a further send may go to a server, by what may have run already.
-    fn may_reach(&self, held: &Held, upstream: &Upstream) -> bool {
-        let Some(first) = held.tries.iter().find(|t| t.out || t.may_have_run) else { return true };
+    /// What all servers are looked at with.
+    fn view(&self, held: &Held) -> View {
+        let aim_left = self.aim_left(held);
+        let spare = aim_left > 2.0 * HOLD_FOR * self.settings.classes[held.class.0].aim;
+        // With roughly exponential answer times one expected at `wait` misses its aim with probability
+        // exp(-aim/wait): while that is below the fee, crossing does not pay.
+        let fee = self.settings.crossing_fee;
+        View {
+            service: self.seen.service[held.class.0].time,
+            means: self.upstreams.means(),
+            may_hold: self.settings.limits.probes && held.holds < HOLDS && spare,
+            room: self.room(held) * aim_left * if held.holds > 0 { HELD_ROOM } else { 1.0 },
+            near_limit: if fee > 0.0 { aim_left / (1.0 / fee).ln().max(1.0) } else { 0.0 },
+        }
+    }
+
+    /// A server as a request sees it now, with its projected utilisation and expected answer time.
+    fn look(&self, slot: Slot, held: &Held, view: &View) -> Option<Candidate> {
+        let (id, upstream) = self.upstreams.at(slot)?;
+        let (in_flight, kappa) = (self.in_flight(upstream, &view.means), self.kappa(upstream));
+        let warmth = upstream.warmth(self.now, &self.settings.safety);
+        let slowness = self.slowness(upstream) / warmth;
+        let depth = ((in_flight + 1.0) / kappa).max(1.0);
+        Some(Candidate {
+            id,
+            near: upstream.zone == self.settings.zone,
+            unsure: view.may_hold && self.now - upstream.reported_at > HOLD_AFTER * view.service,
+            // One that has just failed this request is the likeliest to fail it again.
+            healthy: self.takes_part(upstream) && held.tries.iter().all(|t| t.upstream != id),
+            projected: (in_flight + 1.0) / kappa * slowness,
+            depth,
+            // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
+            idle: in_flight + 1.0 <= (IDLE * kappa).max(2.5 - IDLE_CROWDED * self.seen.refused),
+            wait: view.service * slowness * depth,
+            warmth,
+        })
+    }
+
+    /// Where a further send may go, by what may have run already.
+    fn reach(&self, held: &Held) -> Option<Reach> {
+        let Some(first) = held.tries.iter().find(|t| t.out || t.may_have_run) else {
+            return Some(Reach::All);
+        };
         match self.settings.classes[held.class.0].effect {
-            Effect::Repeatable => true,
-            Effect::Once => false,
+            Effect::Repeatable => Some(Reach::All),
+            Effect::Once => None,
             // The window counts from the first send that may have run; a tick is kept in hand.
             Effect::ByKey { scope, window } => {
-                let in_scope = match scope {
-                    Scope::All => true,
-                    Scope::Zone => upstream.zone == first.zone,
-                    Scope::Cell => upstream.cell == first.cell,
-                };
-                in_scope && self.now + self.settings.limits.tick < first.sent + window
+                let in_time = self.now + self.settings.limits.tick < first.sent + window;
+                in_time.then_some(match scope {
+                    Scope::All => Reach::All,
+                    Scope::Zone => Reach::Zone(first.zone),
+                    Scope::Cell => Reach::Cell(first.cell),
+                })
             }
         }
     }
@@ -323,21 +378,20 @@
     /// m: the last report and our sends since; an unheard server takes the mean m of the known ones.
     fn in_flight(&self, upstream: &Upstream, means: &Means) -> f64 {
         let own = upstream.outstanding.len() as f64;
-        if self.now - upstream.reported_at > STALE || self.seen.lateness > LATE {
+        if !upstream.is_heard || self.seen.lateness > LATE {
             return means.in_flight + own;
         }
-        let since = upstream.outstanding.iter().filter(|o| o.sent >= upstream.counted_from).count();
         // A report below what we ourselves have out there is old, whatever it says.
-        (upstream.reported + since as f64).max(own)
+        (upstream.reported + upstream.since_counted as f64).max(own)
     }
 
     /// Service time relative to the mean server, from answers and from sends that are long unanswered.
     fn slowness(&self, upstream: &Upstream) -> f64 {
         let learnt = self.remembered(upstream);
         // A server that hangs gives no answers to learn from: the time since its last one tells.
-        let ageing = upstream.outstanding.first().map_or(0.0, |oldest| {
+        let ageing = upstream.outstanding.first_key_value().map_or(0.0, |(_, oldest)| {
             AGEING * (self.now - oldest.sent.max(upstream.answered_at))
-                / (oldest.to.depth * self.seen.service[oldest.class.0].time)
+                / (oldest.depth * self.seen.service[oldest.class.0].time)
         });
         learnt.max(ageing).max(0.05)
     }
@@ -360,64 +414,139 @@
     // --- The draw ----------------------------------------------------------------------------
 
     /// Two random servers among those with room, near ones first; the smaller projected utilisation wins.
-    fn draw(&mut self, all: &[Candidate], held: &Held, out: &mut Vec<Action>) -> Option<[Candidate; 2]> {
-        let aim_left = self.aim_left(held);
-        let room = self.room(held) * aim_left * if held.holds > 0 { HELD_ROOM } else { 1.0 };
-        let mut open: Vec<Candidate> = all.iter().filter(|c| c.healthy).copied().collect();
-        if open.is_empty() {
-            // Everyone looks bad: rather ask someone than no one.
-            open = all.to_vec();
-        }
-        // An idle server always has room: else a service time learnt in a jam would lock everyone out.
-        open.retain(|c| c.unsure || c.idle || c.wait <= room);
-        // With roughly exponential answer times one expected at `wait` misses its aim with probability
-        // exp(-aim/wait): while that is below the fee, crossing does not pay.
-        let fee = self.settings.crossing_fee;
-        let near_limit = if fee > 0.0 { aim_left / (1.0 / fee).ln().max(1.0) } else { 0.0 };
-        let near = |c: &Candidate| c.near && (c.wait <= near_limit || c.unsure && fee > 0.0);
-        let limit = |c: &Candidate| if held.holds == 1 && c.near { near_limit.min(room) } else { room };
-        let suits = |c: &Candidate| held.pair.is_some_and(|p| p.contains(&c.id)) && c.wait <= limit(c);
-        let known = open.iter().any(suits);
-        if known {
-            open.retain(suits);
-        } else if held.holds == 0 && open.iter().any(near) {
-            open.retain(near);
-        }
-        let odds = if known { held.odds } else { open.len() as f64 / all.len() as f64 };
-        open.iter_mut().for_each(|c| c.odds = odds);
-        let pair = self.pair(&open)?;
+    /// They are looked at in random order until two have room, or [`LOOKS`] have been. Also whether it is the
+    /// pair that was drawn before.
+    fn draw(&mut self, held: &Held, out: &mut Vec<Action>) -> Option<([Candidate; 2], bool)> {
+        let reach = self.reach(held)?;
+        let view = self.view(held);
+        let before = self.asked_for(held, &view);
+        let near = if before.is_none() && held.holds == 0 { self.near(reach, held, &view) } else { None };
+        let pair = before.or(near).or_else(|| self.open(reach, held, &view))?;
         pair.iter().for_each(|drawn| self.probe(drawn.id, out));
-        Some(pair)
+        Some((pair, before.is_some()))
+    }
+
+    /// Of the pair that was drawn before and asked since, those that still suit.
+    fn asked_for(&self, held: &Held, view: &View) -> Option<[Candidate; 2]> {
+        let limit = |c: &Candidate| {
+            if held.holds == 1 && c.near { view.near_limit.min(view.room) } else { view.room }
+        };
+        let suits = |c: &Candidate| c.healthy && view.has_room(c) && c.wait <= limit(c);
+        let again = |id| {
+            self.look(self.upstreams.slot(id)?, held, view).filter(|c| self.is_serving(c.id) && suits(c))
+        };
+        let [a, b] = held.pair?.map(again);
+        Some([a.or(b)?, b.or(a)?])
+    }
+
+    /// Two near ones with so much room that crossing does not pay.
+    fn near(&mut self, reach: Reach, held: &Held, view: &View) -> Option<[Candidate; 2]> {
+        if self.settings.crossing_fee <= 0.0 {
+            return None;
+        }
+        let reach = if reach == Reach::All { Reach::Zone(self.settings.zone) } else { reach };
+        self.two(reach, held, view, false, |c| c.healthy && view.suits_near(c))
+    }
+
+    /// Two with room, wherever they are.
+    fn open(&mut self, reach: Reach, held: &Held, view: &View) -> Option<[Candidate; 2]> {
+        let mut healthy = false;
+        let found = self.two(reach, held, view, false, |c| {
+            healthy |= c.healthy;
+            c.healthy && view.has_room(c)
+        });
+        // Everyone looks bad: rather ask someone than no one.
+        if healthy { found } else { self.two(reach, held, view, true, |c| view.has_room(c)) }
+    }
+
+    /// The first two that are wanted, in a random order; the one there is, twice, where there is only one.
+    fn two(
+        &mut self,
+        reach: Reach,
+        held: &Held,
+        view: &View,
+        all: bool,
+        mut wanted: impl FnMut(&Candidate) -> bool,
+    ) -> Option<[Candidate; 2]> {
+        let mut looks = Looks::new(&self.upstreams, reach, all);
+        let mut first = None;
+        for _ in 0..LOOKS {
+            let Some(slot) = looks.next(&mut self.upstreams, &mut self.rng) else { break };
+            let Some(found) = self.look(slot, held, view).filter(|c| wanted(c)) else { continue };
+            match first {
+                None => first = Some(found),
+                Some(first) => return Some([first, found]),
+            }
+        }
+        first.map(|one| [one, one])
+    }
+
+    /// The share of the servers within reach that a pair is drawn from. Only asked where one of it is cold.
+    fn odds(&mut self, held: &Held) -> f64 {
+        let Some(reach) = self.reach(held) else { return 1.0 };
+        let view = self.view(held);
+        let whole = self.upstreams.size(reach).1.max(1) as f64;
+        let zone = if reach == Reach::All { Reach::Zone(self.settings.zone) } else { reach };
+        let near = if self.settings.crossing_fee > 0.0 {
+            self.count(zone, held, &view, |c| view.suits_near(c))
+        } else {
+            0.0
+        };
+        let open = if near > 0.0 { near } else { self.count(reach, held, &view, |c| view.has_room(c)) };
+        if open > 0.0 { open / whole } else { 1.0 }
     }
 
-    /// A random pair of distinct members; the one there is, twice, where there is only one.
-    fn pair(&mut self, open: &[Candidate]) -> Option<[Candidate; 2]> {
-        let count = (open.len() as u64).checked_sub(1)? + 1;
-        let first = self.rng.rand_range(0..count);
-        let step = if count > 1 { self.rng.rand_range(1..count) } else { 0 };
-        Some([first, (first + step) % count].map(|at| open[at as usize]))
+    /// How many of a group are healthy and wanted, by those that are looked at.
+    fn count(&mut self, reach: Reach, held: &Held, view: &View, wanted: impl Fn(&Candidate) -> bool) -> f64 {
+        let mut looks = Looks::new(&self.upstreams, reach, false);
+        let (mut seen, mut found) = (0.0, 0.0);
+        for _ in 0..LOOKS {
+            let Some(slot) = looks.next(&mut self.upstreams, &mut self.rng) else { break };
+            seen += 1.0;
+            let suits = self.look(slot, held, view).is_some_and(|c| c.healthy && wanted(&c));
+            found += f64::from(u8::from(suits));
+        }
+        found / f64::max(seen, 1.0) * self.upstreams.size(reach).0 as f64
+    }
+
+    fn is_serving(&self, id: UpstreamId) -> bool {
+        self.upstreams.get(id).is_some_and(|upstream| upstream.serving)
     }
 
     fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
-        let waiting = upstream.probe_sent.is_some_and(|sent| self.now - sent < STALE);
-        if self.settings.limits.probes && !waiting && self.now - upstream.reported_at > FRESH {
-            upstream.probe_sent = Some(self.now);
+        let (now, next, may_probe) = (self.now, self.next_send, self.settings.limits.probes);
+        let ask = |upstream: &mut Upstream| {
+            let waiting = upstream.probe_sent.is_some_and(|sent| now - sent < STALE);
+            let due = may_probe && !waiting && now - upstream.reported_at > FRESH;
+            if due {
+                upstream.probe_sent = Some(now);
+                (upstream.asked_from, upstream.since_asked) = upstream.unheard(next, now);
+            }
+            due
+        };
+        if self.upstreams.change(id, ask) == Some(true) {
             out.push(Action::Probe(id));
         }
     }
 
-    fn send(&mut self, request: RequestId, to: Candidate, others: bool, out: &mut Vec<Action>) {
+    fn send(&mut self, request: RequestId, to: Candidate, out: &mut Vec<Action>) {
         let Some(held) = self.requests.get(&request) else { return };
+        let others = self.reach(held).is_some_and(|reach| self.upstreams.size(reach).1 > 1);
         let timeout = self.timeout(held, to, others);
         let (class, attempt) = (held.class, AttemptNo(held.tries.len() as u32));
-        let sent = self.now;
-        let Some(upstream) = self.upstreams.get_mut(&to.id) else { return };
-        upstream.outstanding.push(Outstanding { request, attempt, class, sent, to });
-        let this = Try::new(to.id, upstream, sent);
+        let (sent, number) = (self.now, self.next_send);
+        let Candidate { depth, wait, .. } = to;
+        let enter = |upstream: &mut Upstream| {
+            upstream.enter(number, Outstanding { class, sent, depth, wait });
+            Try::new(to.id, upstream, sent)
+        };
+        let Some(this) = self.upstreams.change(to.id, enter) else { return };
+        self.next_send += 1;
+        self.sends.insert((request, attempt), (number, to.id));
         if let Some(held) = self.requests.get_mut(&request) {
             held.tries.push(this);
-            held.pair = None;
+            let pair = held.pair.take();
+            self.wait_no_more(request, pair);
         }
         out.push(Action::Send { request, upstream: to.id, timeout });
     }
@@ -462,7 +591,7 @@
 
     /// Forgets a request that has its answer, and stops what is still out for it.
     fn abandoned(&mut self, request: RequestId, out: &mut Vec<Action>) {
-        let Some(held) = self.requests.remove(&request) else { return };
+        let Some(held) = self.end(request) else { return };
         let cancel = self.settings.limits.cancel;
         for (number, _) in held.tries.iter().enumerate().filter(|(_, t)| t.out && cancel) {
             out.push(Action::Cancel { request, attempt: AttemptNo(number as u32) });
@@ -472,121 +601,148 @@
     /// Learns from an attempt's end, whether or not its request is still held.
     fn settle(&mut self, end: Finished, out: &mut Vec<Action>) {
         let Finished { upstream: id, outcome, latency, .. } = end;
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
-        let Some(sent) = upstream.take(end.request, end.attempt) else { return };
-        let silent = upstream.answered_at <= sent.sent;
+        let key = (end.request, end.attempt);
+        let Some(&(number, _)) = self.sends.get(&key).filter(|(_, to)| *to == id) else { return };
+        self.sends.remove(&key);
+        let take = |upstream: &mut Upstream| Some((upstream.take(number)?, upstream.answered_at));
+        let Some((sent, answered_at)) = self.upstreams.change(id, take).flatten() else { return };
+        let silent = answered_at <= sent.sent;
         if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
             self.learn(id, sent, latency, outcome == Outcome::Ok);
         }
         if let Some(report) = end.report {
-            self.take_report(id, report, self.now);
+            let unheard = self.upstreams.get(id).map(|upstream| upstream.unheard(self.next_send, self.now));
+            self.take_report(id, report, unheard);
         }
         let failed = match outcome {
             Outcome::Ok => false,
             Outcome::Error | Outcome::Unreachable | Outcome::Reset => true,
             // Under overload good servers time out too; one that answered nothing in all that time hangs.
-            Outcome::TimedOut if silent && latency >= PATIENCE * sent.to.wait => true,
-            _ => return,
+            Outcome::TimedOut if silent && latency >= PATIENCE * sent.wait => true,
+            _ => return self.upstreams.forget_gone(id),
         };
         self.judge(id, failed, out);
+        self.upstreams.forget_gone(id);
     }
 
     /// An answer tells the class's service time and this server's pace, with the queue taken out; a time-out
     /// tells that the server is at least this slow.
     fn learn(&mut self, id: UpstreamId, sent: Outstanding, latency: Millis, answered: bool) {
         // What a cold server takes longer is no sign of crowding, nor of the speed it will have.
-        let Some(server) = self.upstreams.get(&id).filter(|_| latency > 0.0) else { return };
+        let Some(server) = self.upstreams.get(id).filter(|_| latency > 0.0) else { return };
         let (known, warmth) = (self.remembered(server), server.warmth(self.now, &self.settings.safety));
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
-        let alone = latency * warmth / sent.to.depth;
+        let kind = server.kind;
+        let alone = latency * warmth / sent.depth;
         let service = &mut self.seen.service[sent.class.0];
         let pace = alone / service.time;
         let (seen, weight) = if answered { (pace, SMOOTH) } else { (known.max(AGEING * pace), 1.0) };
-        upstream.slowness = known + weight * (seen - known);
-        upstream.learnt_at = self.now;
-        self.seen.kinds.entry(upstream.kind).or_default().answered(seen, SMOOTH_ALL);
+        let now = self.now;
+        self.upstreams.change(id, |upstream| {
+            upstream.slowness = known + weight * (seen - known);
+            upstream.learnt_at = now;
+            upstream.answered_at = if answered { now } else { upstream.answered_at };
+        });
+        self.seen.kinds.entry(kind).or_default().answered(seen, SMOOTH_ALL);
         self.seen.fleet.answered(seen, SMOOTH_ALL);
-        upstream.answered_at = if answered { self.now } else { upstream.answered_at };
         // The median of sends that met no queue tells the service time: behind one that we underrate, answers
         // are late, and a service time learnt from them would have us refuse work that there is room for.
-        if answered && sent.to.depth <= 1.0 {
+        if answered && sent.depth <= 1.0 {
             service.add(alone, SMOOTH_ALL);
         }
     }
 
     fn probed(&mut self, id: UpstreamId, answered: bool, report: Option<Report>, out: &mut Vec<Action>) {
         self.heard(id, answered, report);
-        let heard = |id: &UpstreamId| self.upstreams.get(id).is_none_or(|u| u.probe_sent.is_none());
-        let ready = |held: &Held| held.pair.is_some_and(|p| p.contains(&id) && p.iter().all(heard));
-        let held: Vec<_> = self.requests.iter().filter(|(_, h)| ready(h)).map(|(id, _)| *id).collect();
+        let heard = |id: &UpstreamId| self.upstreams.get(*id).is_none_or(|u| u.probe_sent.is_none());
+        let ready = |request: &RequestId| {
+            self.requests.get(request).and_then(|held| held.pair).is_some_and(|pair| pair.iter().all(heard))
+        };
+        let waiting = self.waiting.range((id, RequestId(0))..=(id, RequestId(u64::MAX)));
+        let held: Vec<_> = waiting.map(|(_, request)| *request).filter(ready).collect();
         held.into_iter().for_each(|request| self.place(request, out));
     }
 
     fn heard(&mut self, id: UpstreamId, answered: bool, report: Option<Report>) {
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
-        let asked_at = upstream.probe_sent.take().unwrap_or(self.now);
+        let (next, now) = (self.next_send, self.now);
+        let take = |upstream: &mut Upstream| {
+            // One that nobody asked for holds all that was sent.
+            if upstream.probe_sent.take().is_none() {
+                (upstream.asked_from, upstream.since_asked) = upstream.unheard(next, now);
+            }
+            upstream.outstanding.len() - upstream.since_asked
+        };
+        let Some(ours) = self.upstreams.change(id, take).map(|ours| ours as f64) else { return };
         let (Some(report), true) = (report, answered) else { return };
         // Reports carry no age. One that lacks what we had out there when we asked is late, and
         // when many are, none is believed: each server then counts as unheard.
-        let ours = upstream.outstanding.iter().filter(|o| o.sent < asked_at).count() as f64;
         if let Some(in_flight) = report.in_flight.filter(|_| ours > 1.0) {
             let late = f64::from(u8::from(in_flight + 1.0 < ours));
             self.seen.lateness += SMOOTH_ALL * (late - self.seen.lateness);
         }
-        self.take_report(id, report, asked_at);
-    }
-
-    /// Takes in a server's own figures; sends from `asked_at` on are not in them.
-    fn take_report(&mut self, id: UpstreamId, report: Report, asked_at: Millis) {
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
-        let Some(in_flight) = report.in_flight.filter(|m| m.is_finite() && *m >= 0.0) else { return };
-        // Utilisation is a running mean while in-flight is of the moment: only means of both may be divided.
-        let weight = 1.0 - (-(self.now - upstream.reported_at) / MEANS_OVER).exp();
-        upstream.reported = in_flight;
-        upstream.reported_at = self.now;
-        upstream.counted_from = asked_at;
-        upstream.mean_in_flight += weight * (in_flight - upstream.mean_in_flight);
+        self.take_report(id, report, None);
+    }
+
+    /// Takes in a server's own figures, which hold what was sent until it was asked, or all but these.
+    fn take_report(&mut self, id: UpstreamId, report: Report, unheard: Option<(u64, usize)>) {
+        let sound = |m: &f64| (0.0..=MOST_IN_FLIGHT).contains(m);
+        let Some(in_flight) = report.in_flight.filter(sound) else { return };
+        let now = self.now;
+        let take = |upstream: &mut Upstream| {
+            // Utilisation is a running mean while in-flight is of the moment: only means of both may be
+            // divided.
+            let weight = 1.0 - (-(now - upstream.reported_at) / MEANS_OVER).exp();
+            let unheard = unheard.unwrap_or((upstream.asked_from, upstream.since_asked));
+            upstream.reports(in_flight, now, now + STALE, unheard);
+            upstream.mean_in_flight += weight * (in_flight - upstream.mean_in_flight);
+            (weight, upstream.kind)
+        };
+        let Some((weight, kind)) = self.upstreams.change(id, take) else { return };
         let Some(utilisation) = report.utilisation.filter(|u| *u >= UTILISATION_FLOOR) else { return };
         // Servers that start with us begin their mean at 0: early ratios would call them huge.
         if self.now < *self.seen.first_at.get_or_insert(self.now) + 2.0 * MEANS_OVER {
             return;
         }
         if utilisation < SATURATED {
-            self.seen.kinds.entry(upstream.kind).or_default().reported(in_flight, utilisation, SMOOTH_ALL);
+            self.seen.kinds.entry(kind).or_default().reported(in_flight, utilisation, SMOOTH_ALL);
             self.seen.fleet.reported(in_flight, utilisation, SMOOTH_ALL);
         }
         // A queue is in the in-flight count, too, so a reading only bounds κ from above: it
         // falls to the reading at once, but rises slowly, and not at all while all cores are busy.
         let rise = if utilisation < SATURATED { weight * RISE } else { 0.0 };
-        let sample = (upstream.mean_in_flight / utilisation.min(1.0)).max(1.0);
-        let known = *upstream.kappa.get_or_insert(sample);
-        upstream.kappa = Some(known + (sample - known) * if sample < known { 1.0 } else { rise });
+        self.upstreams.change(id, |upstream| {
+            let sample = (upstream.mean_in_flight / utilisation.min(1.0)).max(1.0);
+            let known = *upstream.kappa.get_or_insert(sample);
+            upstream.kappa = Some(known + (sample - known) * if sample < known { 1.0 } else { rise });
+        });
     }
 
     /// Counts an outcome for or against a server: outlier ejection with half-open trials.
     fn judge(&mut self, id: UpstreamId, failed: bool, out: &mut Vec<Action>) {
-        let serving: Vec<&Upstream> = self.upstreams.values().filter(|u| u.serving).collect();
-        let count = serving.len() as f64;
-        let bar = EJECT_ABOVE + serving.iter().map(|u| u.failure_rate).sum::<f64>() / count.max(1.0);
-        let ejected = serving.iter().filter(|u| u.health != Health::Ready).count() as f64;
-        let may_eject = count > 1.0 && ejected + 1.0 <= (EJECT_SHARE * count).max(1.0);
+        let count = self.upstreams.serving() as f64;
+        let bar = EJECT_ABOVE + self.upstreams.failure_rate();
+        let may_eject =
+            count > 1.0 && self.upstreams.ejected() as f64 + 1.0 <= (EJECT_SHARE * count).max(1.0);
         let (now, spread) = (self.now, 0.75 + 0.5 * self.rng.rand_float());
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
-        upstream.failure_rate += SMOOTH * (f64::from(u8::from(failed)) - upstream.failure_rate);
         let eject = |wait: Millis| Health::Ejected { until: now + wait * spread, wait };
-        match upstream.health {
-            Health::Ready if failed && may_eject && upstream.failure_rate > bar => {
-                upstream.health = eject(EJECT_FOR[0]);
-                out.push(Action::Log(format!("server {} ejected for failures", id.0)));
-            }
-            Health::Ejected { until, wait } if failed && now >= until => {
-                upstream.health = eject((wait * 2.0).min(EJECT_FOR[1]));
-            }
-            Health::Ejected { .. } if !failed && upstream.failure_rate < bar => {
-                upstream.health = Health::Ready;
-                out.push(Action::Log(format!("server {} is back after trials", id.0)));
-            }
-            Health::Ready | Health::Ejected { .. } => {}
+        let weigh = |upstream: &mut Upstream| {
+            upstream.failure_rate += SMOOTH * (f64::from(u8::from(failed)) - upstream.failure_rate);
+            let (health, said) = match upstream.health {
+                Health::Ready if failed && may_eject && upstream.failure_rate > bar => {
+                    (eject(EJECT_FOR[0]), Some("ejected for failures"))
+                }
+                Health::Ejected { until, wait } if failed && now >= until => {
+                    (eject((wait * 2.0).min(EJECT_FOR[1])), None)
+                }
+                Health::Ejected { .. } if !failed && upstream.failure_rate < bar => {
+                    (Health::Ready, Some("back after trials"))
+                }
+                Health::Ready | Health::Ejected { .. } => return None,
+            };
+            (upstream.health, upstream.on_trial) = (health, false);
+            said
+        };
+        if let Some(said) = self.upstreams.change(id, weigh).flatten() {
+            out.push(Action::Log(format!("server {} is {said}", id.0)));
         }
     }
 
@@ -595,19 +751,18 @@
     fn listed(&mut self, news: ListNews, out: &mut Vec<Action>) {
         let failed = news == ListNews::Unavailable;
         let must_ask = failed || matches!(news, ListNews::Restored(_));
-        if matches!(news, ListNews::Restored(_) | ListNews::Complete(_)) {
-            // Who is missing from a complete list is gone.
-            self.upstreams.values_mut().for_each(|upstream| upstream.serving = false);
-        }
         match news {
-            ListNews::Restored(list) | ListNews::Complete(list) | ListNews::Changed(list) => {
-                list.iter().for_each(|entry| self.update(entry));
+            // Who is missing from a complete list is gone.
+            ListNews::Restored(list) | ListNews::Complete(list) => {
+                self.upstreams.begin_list();
+                list.iter().for_each(|entry| self.upstreams.list(entry));
+                self.upstreams.end_list();
             }
+            ListNews::Changed(list) => list.iter().for_each(|entry| self.upstreams.list(entry)),
             ListNews::Unavailable => out.push(Action::Log("server list unavailable".to_owned())),
         }
-        self.upstreams.retain(|_, upstream| upstream.serving || !upstream.outstanding.is_empty());
         if self.seen.kinds.len() > KINDS {
-            self.seen.kinds.retain(|kind, _| self.upstreams.values().any(|upstream| upstream.kind == *kind));
+            self.seen.kinds.retain(|kind, _| self.upstreams.has_kind(*kind));
         }
         let Discovery::Subscribed { must_ask_in } = self.settings.discovery else { return };
         self.seen.ask_wait =
@@ -618,8 +773,4 @@
             out.push(Action::WakeAt { at, token: 0 });
         }
     }
-
-    fn update(&mut self, entry: &Listing) {
-        self.upstreams.entry(entry.upstream).or_insert_with(|| Upstream::new(entry)).relist(entry);
-    }
 }
--- /dev/null
+++ b/crates/decide/src/fleet.rs
@@ -0,0 +1,513 @@
+//! The servers by id, and what the module needs of all of them: who may be drawn, by zone and by cell, and sums. All
+//! of it is kept as servers change, so that nothing asked here costs more where there are more of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use oorandom::Rand64;
+use rustc_hash::FxHashMap;
+
+use crate::api::*;
+use crate::state::{Health, Means, Upstream};
+
+/// A server's place in memory while it is known.
+pub(crate) type Slot = usize;
+
+/// Whom a request may go to, by what may have run already.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Reach {
+    All,
+    Zone(ZoneId),
+    Cell(CellId),
+}
+
+/// Servers that can be drawn from, in no order: those that take part, and those that are ejected.
+#[derive(Debug, Default)]
+struct Group {
+    ready: Vec<Slot>,
+    out: Vec<Slot>,
+}
+
+impl Group {
+    fn side(&mut self, ready: bool) -> &mut Vec<Slot> {
+        if ready { &mut self.ready } else { &mut self.out }
+    }
+}
+
+/// What one server adds to the sums.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct Part {
+    serving: bool,
+    ejected: bool,
+    heard: bool,
+    failure_rate: f64,
+    others_in_flight: f64,
+}
+
+#[derive(Debug)]
+struct Entry {
+    id: UpstreamId,
+    server: Upstream,
+    part: Part,
+    /// Where it stands in the groups of all, of its zone and of its cell, and on which side; `None` if in none.
+    places: Option<Places>,
+    /// When it is to be looked whether its last report still counts, and when it may be tried again, as they stand in
+    /// the calendars.
+    heard_until: Option<Due>,
+    trial_at: Option<Due>,
+    /// The last complete list that named it.
+    list: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Places {
+    at: [usize; 3],
+    zone: ZoneId,
+    cell: CellId,
+    ready: bool,
+}
+
+/// A time that can be ordered: microseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Due(i64);
+
+impl Due {
+    fn at(time: Millis) -> Due {
+        Due((time * 1e3) as i64)
+    }
+}
+
+/// All known servers.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    entries: Vec<Option<Entry>>,
+    free: Vec<Slot>,
+    /// Never walked, so that the order of a hash decides nothing. Ids are the caller's own numbers, not outsiders'.
+    by_id: FxHashMap<UpstreamId, Slot>,
+    groups: FxHashMap<Reach, Group>,
+    heard_until: BTreeSet<(Due, Slot)>,
+    trials: BTreeSet<(Due, Slot)>,
+    serving: usize,
+    ejected: usize,
+    heard: usize,
+    failure_rates: f64,
+    others_in_flight: f64,
+    /// By kind of machine, how many there are.
+    kinds: BTreeMap<KindId, usize>,
+    lists: u64,
+    /// What the looks at servers have cost so far, for the guard of the scaling.
+    pub looks: u64,
+}
+
+impl Fleet {
+    pub fn slot(&self, id: UpstreamId) -> Option<Slot> {
+        self.by_id.get(&id).copied()
+    }
+
+    pub fn at(&self, slot: Slot) -> Option<(UpstreamId, &Upstream)> {
+        self.entries.get(slot)?.as_ref().map(|entry| (entry.id, &entry.server))
+    }
+
+    pub fn get(&self, id: UpstreamId) -> Option<&Upstream> {
+        self.at(self.slot(id)?).map(|(_, server)| server)
+    }
+
+    /// Changes a server, and then everything that is kept of it.
+    pub fn change<T>(&mut self, id: UpstreamId, how: impl FnOnce(&mut Upstream) -> T) -> Option<T> {
+        let slot = self.slot(id)?;
+        let changed = how(&mut self.entries[slot].as_mut()?.server);
+        self.refresh(slot);
+        Some(changed)
+    }
+
+    /// Servers that are listed as serving.
+    pub fn serving(&self) -> usize {
+        self.serving
+    }
+
+    pub fn ejected(&self) -> usize {
+        self.ejected
+    }
+
+    /// The mean failure rate of those that serve.
+    pub fn failure_rate(&self) -> f64 {
+        if self.serving > 0 { (self.failure_rates / self.serving as f64).max(0.0) } else { 0.0 }
+    }
+
+    /// Means over those that were heard of late.
+    pub fn means(&self) -> Means {
+        let mean = if self.heard > 0 { self.others_in_flight / self.heard as f64 } else { 0.0 };
+        Means { in_flight: mean.max(0.0) }
+    }
+
+    pub fn has_kind(&self, kind: KindId) -> bool {
+        self.kinds.contains_key(&kind)
+    }
+
+    /// How many can be drawn from within a reach: that take part, and in all.
+    pub fn size(&self, reach: Reach) -> (usize, usize) {
+        let group = self.groups.get(&reach);
+        group.map_or((0, 0), |group| (group.ready.len(), group.ready.len() + group.out.len()))
+    }
+
+    /// Takes in what discovery says of a server.
+    pub fn list(&mut self, listing: &Listing) {
+        let slot = match self.slot(listing.upstream) {
+            Some(slot) => slot,
+            None if listing.lifecycle != Lifecycle::Serving => return,
+            None => self.add(listing),
+        };
+        let Some(entry) = self.entries[slot].as_mut() else { return };
+        entry.list = self.lists;
+        let before = entry.server.kind;
+        entry.server.relist(listing);
+        if before != listing.kind {
+            self.uncount(before);
+            *self.kinds.entry(listing.kind).or_default() += 1;
+        }
+        self.refresh(slot);
+        self.forget(slot);
+    }
+
+    /// A complete list begins.
+    pub fn begin_list(&mut self) {
+        self.lists += 1;
+    }
+
+    /// It has ended: who was missing from it is gone.
+    pub fn end_list(&mut self) {
+        for slot in 0..self.entries.len() {
+            let lists = self.lists;
+            let Some(entry) = self.entries[slot].as_mut().filter(|entry| entry.list < lists) else {
+                continue;
+            };
+            entry.server.serving = false;
+            self.refresh(slot);
+            self.forget(slot);
+        }
+    }
+
+    /// Forgets a server that is gone once nothing is out on it.
+    pub fn forget_gone(&mut self, id: UpstreamId) {
+        if let Some(slot) = self.slot(id) {
+            self.forget(slot);
+        }
+    }
+
+    /// Lets time pass: old reports count no more, and ejected servers may be tried again.
+    pub fn advance(&mut self, now: Millis) {
+        let now = Due::at(now);
+        while let Some(&(due, slot)) = self.heard_until.first().filter(|(due, _)| *due < now) {
+            self.heard_until.remove(&(due, slot));
+            if let Some(Some(entry)) = self.entries.get_mut(slot) {
+                entry.heard_until = None;
+                // One that has been heard again meanwhile gets a new entry.
+                entry.server.is_heard &= Due::at(entry.server.heard_until) >= now;
+            }
+            self.refresh(slot);
+        }
+        while let Some(&(due, slot)) = self.trials.first().filter(|(due, _)| *due <= now) {
+            self.trials.remove(&(due, slot));
+            if let Some(Some(entry)) = self.entries.get_mut(slot) {
+                entry.trial_at = None;
+                entry.server.on_trial = true;
+            }
+            self.refresh(slot);
+        }
+    }
+
+    fn add(&mut self, listing: &Listing) -> Slot {
+        let entry = Entry {
+            id: listing.upstream,
+            server: Upstream::new(listing),
+            part: Part::default(),
+            places: None,
+            heard_until: None,
+            trial_at: None,
+            list: self.lists,
+        };
+        *self.kinds.entry(listing.kind).or_default() += 1;
+        let slot = self.free.pop().unwrap_or(self.entries.len());
+        if slot == self.entries.len() {
+            self.entries.push(None);
+        }
+        self.entries[slot] = Some(entry);
+        self.by_id.insert(listing.upstream, slot);
+        slot
+    }
+
+    fn forget(&mut self, slot: Slot) {
+        let gone = |entry: &Entry| !entry.server.serving && entry.server.outstanding.is_empty();
+        let Some(entry) = self.entries[slot].take_if(|entry| gone(entry)) else { return };
+        // One that does not serve is in no group, adds nothing and has no trial; its report may still be in time.
+        if let Some(due) = entry.heard_until {
+            self.heard_until.remove(&(due, slot));
+        }
+        self.by_id.remove(&entry.id);
+        self.uncount(entry.server.kind);
+        self.free.push(slot);
+    }
+
+    fn uncount(&mut self, kind: KindId) {
+        if let Some(count) = self.kinds.get_mut(&kind) {
+            *count -= 1;
+            if *count == 0 {
+                self.kinds.remove(&kind);
+            }
+        }
+    }
+
+    /// Brings sums, groups and calendars into line with one server.
+    fn refresh(&mut self, slot: Slot) {
+        let Some(Some(entry)) = self.entries.get_mut(slot) else { return };
+        let server = &entry.server;
+        let heard = server.serving && server.is_heard;
+        let part = Part {
+            serving: server.serving,
+            ejected: server.serving && server.health != Health::Ready,
+            heard,
+            failure_rate: if server.serving { server.failure_rate } else { 0.0 },
+            others_in_flight: if heard { server.reported - server.outstanding.len() as f64 } else { 0.0 },
+        };
+        let old = std::mem::replace(&mut entry.part, part);
+        if server.is_heard && entry.heard_until.is_none() {
+            let due = Due::at(server.heard_until);
+            self.heard_until.insert((due, slot));
+            entry.heard_until = Some(due);
+        }
+        let trial_at = match server.health {
+            Health::Ejected { until, .. } if server.serving && !server.on_trial => Some(Due::at(until)),
+            _ => None,
+        };
+        if entry.trial_at != trial_at {
+            if let Some(due) = entry.trial_at {
+                self.trials.remove(&(due, slot));
+            }
+            self.trials.extend(trial_at.map(|due| (due, slot)));
+            entry.trial_at = trial_at;
+        }
+        let ready = server.health == Health::Ready || server.on_trial;
+        let (wanted, zone, cell) = (server.serving, server.zone, server.cell);
+        let in_place = match entry.places {
+            Some(places) => wanted && (places.zone, places.cell, places.ready) == (zone, cell, ready),
+            None => !wanted,
+        };
+        if !in_place {
+            self.leave(slot);
+            if wanted {
+                self.enter(slot, zone, cell, ready);
+            }
+        }
+        let count = |sum: &mut usize, old: bool, new: bool| {
+            *sum = *sum + usize::from(new) - usize::from(old);
+        };
+        count(&mut self.serving, old.serving, part.serving);
+        count(&mut self.ejected, old.ejected, part.ejected);
+        count(&mut self.heard, old.heard, part.heard);
+        self.failure_rates += part.failure_rate - old.failure_rate;
+        self.others_in_flight += part.others_in_flight - old.others_in_flight;
+        // Nothing adds up to nothing, whatever rounding has left.
+        if self.heard == 0 {
+            self.others_in_flight = 0.0;
+        }
+        if self.serving == 0 {
+            self.failure_rates = 0.0;
+        }
+    }
+
+    fn enter(&mut self, slot: Slot, zone: ZoneId, cell: CellId, ready: bool) {
+        let at = [Reach::All, Reach::Zone(zone), Reach::Cell(cell)].map(|reach| {
+            let side = self.groups.entry(reach).or_default().side(ready);
+            side.push(slot);
+            side.len() - 1
+        });
+        if let Some(Some(entry)) = self.entries.get_mut(slot) {
+            entry.places = Some(Places { at, zone, cell, ready });
+        }
+    }
+
+    fn leave(&mut self, slot: Slot) {
+        let Some(Some(entry)) = self.entries.get_mut(slot) else { return };
+        let Some(Places { at, zone, cell, ready }) = entry.places.take() else { return };
+        for (number, reach) in [Reach::All, Reach::Zone(zone), Reach::Cell(cell)].into_iter().enumerate() {
+            let Some(group) = self.groups.get_mut(&reach) else { continue };
+            let side = group.side(ready);
+            side.swap_remove(at[number]);
+            let moved = side.get(at[number]).copied();
+            if group.ready.is_empty() && group.out.is_empty() {
+                self.groups.remove(&reach);
+            }
+            let moved = moved.and_then(|moved| self.entries[moved].as_mut()?.places.as_mut());
+            if let Some(places) = moved {
+                places.at[number] = at[number];
+            }
+        }
+    }
+}
+
+/// Looks at the members of a group in random order, each at most once.
+pub(crate) struct Looks {
+    reach: Reach,
+    /// Whether at the ejected as well.
+    all: bool,
+    next: usize,
+    size: usize,
+    /// A shuffle that is made as it is looked at: what stands where not the member of that number does.
+    moved: Vec<(usize, usize)>,
+}
+
+impl Looks {
+    /// At so many at most.
+    pub fn new(fleet: &Fleet, reach: Reach, all: bool) -> Looks {
+        let (ready, both) = fleet.size(reach);
+        Looks { reach, all, next: 0, size: if all { both } else { ready }, moved: Vec::new() }
+    }
+
+    /// The next member.
+    pub fn next(&mut self, fleet: &mut Fleet, rng: &mut Rand64) -> Option<Slot> {
+        if self.next >= self.size {
+            return None;
+        }
+        fleet.looks += 1;
+        let drawn = rng.rand_range(self.next as u64..self.size as u64) as usize;
+        let stands =
+            |at: usize| self.moved.iter().find(|(place, _)| *place == at).map_or(at, |(_, who)| *who);
+        let (who, here) = (stands(drawn), stands(self.next));
+        match self.moved.iter_mut().find(|(place, _)| *place == drawn) {
+            Some(entry) => entry.1 = here,
+            None => self.moved.push((drawn, here)),
+        }
+        self.next += 1;
+        let group = fleet.groups.get(&self.reach)?;
+        let out = || self.all.then(|| group.out.get(who - group.ready.len()).copied()).flatten();
+        group.ready.get(who).copied().or_else(out)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::Outstanding;
+
+    fn listing(id: u64, rng: &mut Rand64) -> Listing {
+        let lifecycle = if rng.rand_range(0..4) == 0 { Lifecycle::Leaving } else { Lifecycle::Serving };
+        Listing {
+            upstream: UpstreamId(id),
+            zone: ZoneId(rng.rand_range(0..3)),
+            cell: CellId(rng.rand_range(0..9)),
+            kind: KindId(rng.rand_range(0..3)),
+            lifecycle,
+            weight: 1.0,
+            started: (rng.rand_range(0..20) == 0).then(|| rng.rand_float() * 1e4),
+        }
+    }
+
+    /// Everything that is kept, told from the servers themselves.
+    fn check(fleet: &Fleet) {
+        let all = || fleet.entries.iter().flatten();
+        let serving = || all().filter(|entry| entry.server.serving);
+        assert_eq!(fleet.by_id.len(), all().count());
+        assert_eq!(fleet.serving, serving().count());
+        let out = |entry: &&Entry| entry.server.health != Health::Ready;
+        assert_eq!(fleet.ejected, serving().filter(out).count());
+        let heard = || serving().filter(|entry| entry.server.is_heard);
+        assert_eq!(fleet.heard, heard().count());
+        let others = |entry: &Entry| entry.server.reported - entry.server.outstanding.len() as f64;
+        assert!((fleet.others_in_flight - heard().map(others).sum::<f64>()).abs() < 1e-6);
+        assert!((fleet.failure_rates - serving().map(|e| e.server.failure_rate).sum::<f64>()).abs() < 1e-6);
+        assert_eq!(fleet.kinds.values().sum::<usize>(), all().count());
+        assert_eq!(fleet.size(Reach::All).1, serving().count());
+        let zones: usize = (0..3).map(|zone| fleet.size(Reach::Zone(ZoneId(zone))).1).sum();
+        let cells: usize = (0..9).map(|cell| fleet.size(Reach::Cell(CellId(cell))).1).sum();
+        assert_eq!((zones, cells), (serving().count(), serving().count()));
+        for (slot, entry) in fleet.entries.iter().enumerate() {
+            let Some(entry) = entry.as_ref().filter(|entry| entry.server.serving) else { continue };
+            let side =
+                |group: &Group, ready: bool| if ready { group.ready.clone() } else { group.out.clone() };
+            let ready = entry.server.health == Health::Ready || entry.server.on_trial;
+            for reach in [Reach::All, Reach::Zone(entry.server.zone), Reach::Cell(entry.server.cell)] {
+                let group = &fleet.groups[&reach];
+                assert!(side(group, ready).contains(&slot) && !side(group, !ready).contains(&slot));
+            }
+        }
+        assert!(all().all(|entry| entry.server.serving || !entry.server.outstanding.is_empty()));
+    }
+
+    #[test]
+    fn what_is_kept_is_what_a_walk_would_tell() {
+        let mut rng = Rand64::new(3);
+        let (mut fleet, mut now, mut number) = (Fleet::default(), 0.0, 0);
+        for round in 0..20_000 {
+            now += rng.rand_float() * 40.0;
+            fleet.advance(now);
+            let id = UpstreamId(rng.rand_range(0..40));
+            match rng.rand_range(0..10) {
+                0 | 1 => fleet.list(&listing(id.0, &mut rng)),
+                2 if rng.rand_range(0..10) == 0 => {
+                    fleet.begin_list();
+                    (0..rng.rand_range(0..40)).for_each(|id| fleet.list(&listing(id, &mut rng)));
+                    fleet.end_list();
+                }
+                3 | 4 => {
+                    number += 1;
+                    let sent = Outstanding { class: ClassId(0), sent: now, depth: 1.0, wait: 1.0 };
+                    let serving = fleet.get(id).is_some_and(|server| server.serving);
+                    if serving {
+                        fleet.change(id, |server| server.enter(number, sent));
+                    }
+                }
+                5 | 6 => {
+                    fleet.change(id, |server| {
+                        let oldest = server.outstanding.first_key_value().map(|(number, _)| *number);
+                        oldest.and_then(|number| server.take(number))
+                    });
+                    fleet.forget_gone(id);
+                }
+                7 => {
+                    let (in_flight, unheard) = (rng.rand_float() * 20.0, (number + 1, 0));
+                    fleet.change(id, |server| server.reports(in_flight, now, now + 300.0, unheard));
+                }
+                8 => {
+                    let until = now + rng.rand_float() * 500.0;
+                    fleet.change(id, |server| {
+                        (server.health, server.on_trial) = (Health::Ejected { until, wait: 1.0 }, false);
+                        server.failure_rate += 0.3 * (1.0 - server.failure_rate);
+                    });
+                }
+                _ => {
+                    fleet.change(id, |server| {
+                        (server.health, server.on_trial) = (Health::Ready, false);
+                        server.failure_rate *= 0.5;
+                    });
+                }
+            }
+            if round % 7 == 0 {
+                check(&fleet);
+            }
+        }
+        assert!(fleet.serving > 0, "the walk has something to tell");
+    }
+
+    #[test]
+    fn looks_meet_each_member_once_and_all_orders_alike() {
+        let mut rng = Rand64::new(5);
+        let mut fleet = Fleet::default();
+        for id in 0..4 {
+            fleet.list(&Listing { lifecycle: Lifecycle::Serving, started: None, ..listing(id, &mut rng) });
+        }
+        fleet.change(UpstreamId(3), |server| server.health = Health::Ejected { until: 1e9, wait: 1.0 });
+        let mut first = [0; 4];
+        for _ in 0..9_000 {
+            let mut looks = Looks::new(&fleet, Reach::All, false);
+            let mut met = Vec::new();
+            while let Some(slot) = looks.next(&mut fleet, &mut rng) {
+                met.push(slot);
+            }
+            first[met[0]] += 1;
+            met.sort_unstable();
+            assert_eq!(met, [0, 1, 2], "the ejected one is not met");
+        }
+        assert!(first[..3].iter().all(|count| (2_800..3_200).contains(count)), "{first:?}");
+        let mut looks = Looks::new(&fleet, Reach::All, true);
+        assert_eq!(std::iter::from_fn(|| looks.next(&mut fleet, &mut rng)).count(), 4);
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod api;
 pub mod brain;
+mod fleet;
 pub mod settings;
 mod state;
 
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -47,12 +47,11 @@
 /// One of our sends that a server has not answered.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Outstanding {
-    pub request: RequestId,
-    pub attempt: AttemptNo,
     pub class: ClassId,
     pub sent: Millis,
-    /// The server as it looked then.
-    pub to: Candidate,
+    /// How the server looked then: [`Candidate::depth`] and [`Candidate::wait`].
+    pub depth: f64,
+    pub wait: Millis,
 }
 
 /// What is known of one class, times from answers that met no queue.
@@ -179,16 +178,25 @@
     /// In flight by the last report, less those of ours that have been answered since.
     pub reported: f64,
     pub reported_at: Millis,
-    /// Sends from here on are not in the last report.
-    pub counted_from: Millis,
+    /// Whether that says anything yet, and until when.
+    pub is_heard: bool,
+    pub heard_until: Millis,
     pub probe_sent: Option<Millis>,
-    pub outstanding: Vec<Outstanding>,
+    /// By the number of the send. Those from `counted_from` on are not in the last report, those from
+    /// `asked_from` on will not be in the next; how many are out of each.
+    pub outstanding: BTreeMap<u64, Outstanding>,
+    pub counted_from: u64,
+    pub asked_from: u64,
+    pub since_counted: usize,
+    pub since_asked: usize,
     /// Service time relative to the mean of all servers.
     pub slowness: f64,
     pub learnt_at: Millis,
     pub answered_at: Millis,
     pub failure_rate: f64,
     pub health: Health,
+    /// Whether it is ejected, but may be tried.
+    pub on_trial: bool,
     /// Work in milliseconds that it may yet be sent while it is cold, as of then.
     pub cold_credit: f64,
     pub cold_at: Millis,
@@ -203,8 +211,6 @@
     pub unsure: bool,
     pub healthy: bool,
     pub warmth: f64,
-    /// The share of all candidates that its pair was drawn from.
-    pub odds: f64,
     pub projected: f64,
     /// How many times its own service time an answer is expected to take, for the queue before it.
     pub depth: f64,
@@ -212,8 +218,31 @@
     pub wait: Millis,
 }
 
+/// What one request sees all servers with.
+pub(crate) struct View {
+    pub service: Millis,
+    pub means: Means,
+    pub may_hold: bool,
+    /// The longest expected answer time that there is room for, and that keeps it near.
+    pub room: Millis,
+    pub near_limit: Millis,
+}
+
+impl View {
+    pub fn has_room(&self, c: &Candidate) -> bool {
+        // An idle server always has room: else a service time learnt in a jam would lock everyone out.
+        c.unsure || c.idle || c.wait <= self.room
+    }
+
+    /// Asked only where crossing has a fee.
+    pub fn suits_near(&self, c: &Candidate) -> bool {
+        c.near && self.has_room(c) && (c.wait <= self.near_limit || c.unsure)
+    }
+}
+
 /// Means over the known servers, which stand in for what is not known of others.
 pub(crate) struct Means {
+    /// Of others.
     pub in_flight: f64,
 }
 
@@ -230,14 +259,20 @@
             mean_in_flight: 0.0,
             reported: 0.0,
             reported_at: f64::NEG_INFINITY,
-            counted_from: f64::NEG_INFINITY,
+            is_heard: false,
+            heard_until: f64::NEG_INFINITY,
             probe_sent: None,
-            outstanding: Vec::new(),
+            outstanding: BTreeMap::new(),
+            counted_from: 0,
+            asked_from: 0,
+            since_counted: 0,
+            since_asked: 0,
             slowness: 1.0,
             learnt_at: f64::NEG_INFINITY,
             answered_at: f64::NEG_INFINITY,
             failure_rate: 0.0,
             health: Health::Ready,
+            on_trial: false,
             cold_credit: 0.0,
             cold_at: f64::NEG_INFINITY,
         }
@@ -247,7 +282,8 @@
     pub fn relist(&mut self, entry: &Listing) {
         if entry.started.is_some_and(|at| self.started.is_none_or(|known| at > known)) {
             let outstanding = std::mem::take(&mut self.outstanding);
-            *self = Upstream { outstanding, ..Upstream::new(entry) };
+            let out = outstanding.len();
+            *self = Upstream { outstanding, since_counted: out, since_asked: out, ..Upstream::new(entry) };
         }
         self.zone = entry.zone;
         self.cell = entry.cell;
@@ -267,27 +303,35 @@
         }
     }
 
+    /// Enters a send in the books, under a number that is higher than all before.
+    pub fn enter(&mut self, number: u64, sent: Outstanding) {
+        self.outstanding.insert(number, sent);
+        self.since_counted += 1;
+        self.since_asked += 1;
+    }
+
     /// Strikes a send off the books.
-    pub fn take(&mut self, request: RequestId, attempt: AttemptNo) -> Option<Outstanding> {
-        let matching = |o: &Outstanding| o.request == request && o.attempt == attempt;
-        let sent = self.outstanding.remove(self.outstanding.iter().position(matching)?);
-        if sent.sent < self.counted_from {
-            self.reported = (self.reported - 1.0).max(0.0);
+    pub fn take(&mut self, number: u64) -> Option<Outstanding> {
+        let sent = self.outstanding.remove(&number)?;
+        match number >= self.counted_from {
+            true => self.since_counted -= 1,
+            false => self.reported = (self.reported - 1.0).max(0.0),
         }
+        self.since_asked -= usize::from(number >= self.asked_from);
         Some(sent)
     }
-}
 
-impl Means {
-    /// Over the serving servers; in flight is that of others, from reports since a given time.
-    pub fn of<'a>(upstreams: impl Iterator<Item = &'a Upstream>, heard_since: Millis) -> Means {
-        let (mut in_flight, mut heard) = (0.0, 0.0);
-        for upstream in upstreams.filter(|upstream| upstream.serving) {
-            if upstream.reported_at >= heard_since {
-                in_flight += upstream.reported - upstream.outstanding.len() as f64;
-                heard += 1.0;
-            }
-        }
-        Means { in_flight: if heard > 0.0 { f64::max(in_flight / heard, 0.0) } else { 0.0 } }
+    /// The sends that a load asked for now does not surely hold, where `next` is the number of the next one:
+    /// the first of them, and how many they are. What goes out in the same moment is one of them.
+    pub fn unheard(&self, next: u64, now: Millis) -> (u64, usize) {
+        let late = self.outstanding.iter().rev().take_while(|(_, sent)| sent.sent >= now);
+        late.fold((next, 0), |(_, count), (number, _)| (*number, count + 1))
+    }
+
+    /// A report has come; the sends that it does not hold are these.
+    pub fn reports(&mut self, in_flight: f64, now: Millis, until: Millis, unheard: (u64, usize)) {
+        (self.counted_from, self.since_counted) = unheard;
+        (self.reported, self.reported_at) = (in_flight, now);
+        (self.is_heard, self.heard_until) = (true, until);
     }
 }
--- a/crates/stage/src/bin/sagemast-rig/main.rs
+++ b/crates/stage/src/bin/sagemast-rig/main.rs
@@ -4,6 +4,7 @@
 mod daemon_kill;
 mod daemon_restart;
 mod daemon_scale;
+mod decide_scale;
 mod report;
 
 use std::path::PathBuf;
@@ -34,6 +35,8 @@
     DaemonScale,
     /// A daemon under load is killed outright ten times, with discovery down every other time.
     DaemonKill,
+    /// What a decision of the module costs with 10 to 10,000 upstreams, in churn and in failures.
+    DecideScale,
 }
 
 fn main() -> ExitCode {
@@ -55,6 +58,7 @@
             Scenario::DaemonRestart => daemon_restart::run(&program, cli.short).await,
             Scenario::DaemonScale => daemon_scale::run(&program, cli.short).await,
             Scenario::DaemonKill => daemon_kill::run(&program, cli.short).await,
+            Scenario::DecideScale => decide_scale::run(cli.short),
         }
     });
     // What still runs of the stand-ins ends with the process.
