--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -389,7 +389,7 @@
     fn slowness(&self, upstream: &Upstream) -> f64 {
         let learnt = self.remembered(upstream);
         // A server that hangs gives no answers to learn from: the time since its last one tells.
-        let ageing = upstream.outstanding.first_key_value().map_or(0.0, |(_, oldest)| {
+        let ageing = upstream.outstanding.oldest().map_or(0.0, |(_, oldest)| {
             AGEING * (self.now - oldest.sent.max(upstream.answered_at))
                 / (oldest.depth * self.seen.service[oldest.class.0].time)
         });
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -1,6 +1,6 @@
 //! The records that the decision module keeps. Nothing is decided here.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::api::*;
 
@@ -54,6 +54,55 @@
     pub wait: Millis,
 }
 
+/// Sends in the order of their numbers. Those that have ended stay as gaps until all before them have ended, which
+/// the longest deadline bounds.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Sends {
+    queue: VecDeque<(u64, Option<Outstanding>)>,
+    count: usize,
+}
+
+/// Room for so many is kept when none is out.
+const SENDS_KEPT: usize = 32;
+
+impl Sends {
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Under a number above all before.
+    pub fn push(&mut self, number: u64, sent: Outstanding) {
+        self.queue.push_back((number, Some(sent)));
+        self.count += 1;
+    }
+
+    pub fn remove(&mut self, number: u64) -> Option<Outstanding> {
+        let at = self.queue.binary_search_by_key(&number, |(number, _)| *number).ok()?;
+        let sent = self.queue.get_mut(at)?.1.take()?;
+        self.count -= 1;
+        while self.queue.front().is_some_and(|(_, sent)| sent.is_none()) {
+            self.queue.pop_front();
+        }
+        if self.queue.is_empty() && self.queue.capacity() > SENDS_KEPT {
+            self.queue = VecDeque::new();
+        }
+        Some(sent)
+    }
+
+    pub fn oldest(&self) -> Option<(u64, &Outstanding)> {
+        self.queue.front().and_then(|(number, sent)| Some((*number, sent.as_ref()?)))
+    }
+
+    /// The latest first.
+    pub fn latest(&self) -> impl Iterator<Item = (u64, &Outstanding)> {
+        self.queue.iter().rev().filter_map(|(number, sent)| Some((*number, sent.as_ref()?)))
+    }
+}
+
 /// What is known of one class, times from answers that met no queue.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Service {
@@ -184,7 +233,7 @@
     pub probe_sent: Option<Millis>,
     /// By the number of the send. Those from `counted_from` on are not in the last report, those from
     /// `asked_from` on will not be in the next; how many are out of each.
-    pub outstanding: BTreeMap<u64, Outstanding>,
+    pub outstanding: Sends,
     pub counted_from: u64,
     pub asked_from: u64,
     pub since_counted: usize,
@@ -262,7 +311,7 @@
             is_heard: false,
             heard_until: f64::NEG_INFINITY,
             probe_sent: None,
-            outstanding: BTreeMap::new(),
+            outstanding: Sends::default(),
             counted_from: 0,
             asked_from: 0,
             since_counted: 0,
@@ -305,14 +354,14 @@
 
     /// Enters a send in the books, under a number that is higher than all before.
     pub fn enter(&mut self, number: u64, sent: Outstanding) {
-        self.outstanding.insert(number, sent);
+        self.outstanding.push(number, sent);
         self.since_counted += 1;
         self.since_asked += 1;
     }
 
     /// Strikes a send off the books.
     pub fn take(&mut self, number: u64) -> Option<Outstanding> {
-        let sent = self.outstanding.remove(&number)?;
+        let sent = self.outstanding.remove(number)?;
         match number >= self.counted_from {
             true => self.since_counted -= 1,
             false => self.reported = (self.reported - 1.0).max(0.0),
@@ -324,8 +373,8 @@
     /// The sends that a load asked for now does not surely hold, where `next` is the number of the next one:
     /// the first of them, and how many they are. What goes out in the same moment is one of them.
     pub fn unheard(&self, next: u64, now: Millis) -> (u64, usize) {
-        let late = self.outstanding.iter().rev().take_while(|(_, sent)| sent.sent >= now);
-        late.fold((next, 0), |(_, count), (number, _)| (*number, count + 1))
+        let late = self.outstanding.latest().take_while(|(_, sent)| sent.sent >= now);
+        late.fold((next, 0), |(_, count), (number, _)| (number, count + 1))
     }
 
     /// A report has come; the sends that it does not hold are these.
