--- a/crates/decide/src/fleet.rs
+++ b/crates/decide/src/fleet.rs
@@ -457,7 +457,7 @@
                 }
                 5 | 6 => {
                     fleet.change(id, |server| {
-                        let oldest = server.outstanding.first_key_value().map(|(number, _)| *number);
+                        let oldest = server.outstanding.oldest().map(|(number, _)| number);
                         oldest.and_then(|number| server.take(number))
                     });
                     fleet.forget_gone(id);
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -54,7 +54,8 @@
     pub wait: Millis,
 }
 
-/// Sends in the order of their numbers. Those that have ended stay as gaps until all before them have ended, which
+/// Sends in the order of their numbers. Those that have ended stay as gaps until all before them have ended,
+/// which
 /// the longest deadline bounds.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Sends {
@@ -384,3 +385,21 @@
         (self.is_heard, self.heard_until) = (true, until);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn sends_end_in_any_order_and_leave_nothing() {
+        let sent = |at| Outstanding { class: ClassId(0), sent: at, depth: 1.0, wait: 1.0 };
+        let mut sends = Sends::default();
+        (0..100).for_each(|number| sends.push(2 * number, sent(number as f64)));
+        assert!(sends.remove(7).is_none(), "no such send");
+        (1..100).rev().for_each(|number| assert!(sends.remove(2 * number).is_some()));
+        assert_eq!((sends.len(), sends.oldest().map(|(number, _)| number)), (1, Some(0)));
+        assert!(sends.remove(2).is_none(), "it has ended");
+        assert!(sends.remove(0).is_some());
+        assert!(sends.is_empty() && sends.queue.is_empty() && sends.queue.capacity() <= SENDS_KEPT);
+    }
+}
