--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -13,14 +13,23 @@
 use crate::fleet::{Fleet, Looks, Reach, Slot};
 use crate::state::*;
 
+/// Times below are for a mean service time of up to this; where it is longer so are they, within a bound.
+/// They
+/// are no shorter for faster servers: a probe is not free, and servers take their means over a time that we
+/// are not told.
+const USUAL_SERVICE: Millis = 40.0;
+const MOST_SCALE: f64 = 25.0;
 /// A report older than this is renewed when its server is drawn: about one service time.
 const FRESH: Millis = 40.0;
 /// A request whose pair has a report older than this many service times waits for the pair's probes,
 const HOLD_AFTER: f64 = 4.0;
 /// for at most this share of its aim,
 const HOLD_FOR: f64 = 0.15;
-/// and this often.
+/// for no longer than so many probes take of late, and this often.
+const HOLD_PROBES: f64 = 3.0;
 const HOLDS: u32 = 2;
+/// It never waits where a probe takes more than this share of a service time: it could not win as much.
+const HOLD_WORTH: f64 = 0.5;
 /// What was asked for is one pair, not the fleet: a queue that long at the better of two is long everywhere.
 const HELD_ROOM: f64 = 0.6;
 /// A report older than this says nothing any more; the mean of the known servers stands in.
@@ -33,7 +42,9 @@
 const SATURATED: f64 = 0.9;
 /// A rising κ is believed this much slower.
 const RISE: f64 = 0.1;
-/// Below this reported utilisation in-flight / utilisation is mostly rounding.
+/// Below this reported utilisation in-flight / utilisation is mostly rounding, but what is in flight over
+/// this
+/// bounds κ from below.
 const UTILISATION_FLOOR: f64 = 0.1;
 /// Weight of a new sample in the slowness and the failure rate of one server.
 const SMOOTH: f64 = 0.15;
@@ -161,6 +172,9 @@
         for (number, share) in self.seen.tenant_shares.iter_mut().enumerate() {
             *share += SMOOTH_ALL * (f64::from(u8::from(number == held.tenant.0)) - *share);
         }
+        let service = self.seen.service[held.class.0].time;
+        let mean = self.seen.usual_service.get_or_insert(service);
+        *mean += SMOOTH_ALL * (service - *mean);
         let (density, usual) = (self.density(&held), self.seen.usual_density.unwrap_or(self.density(&held)));
         self.seen.usual_density = Some(usual + SMOOTH_ALL * (density - usual));
         self.requests.insert(request, held);
@@ -233,7 +247,8 @@
         };
         let Some(held) = self.requests.get_mut(&request) else { return };
         (held.odds, held.holds) = (odds, held.holds + 1);
-        let at = self.now + HOLD_FOR * self.settings.classes[held.class.0].aim;
+        let most = HOLD_FOR * self.settings.classes[held.class.0].aim;
+        let at = self.now + self.seen.probe_time.map_or(most, |time| most.min(HOLD_PROBES * time));
         out.push(Action::WakeAt { at: at.min(held.deadline), token: request.0 >> 1 });
         let before = held.pair.replace(pair.map(|c| c.id));
         self.wait_no_more(request, before);
@@ -307,6 +322,11 @@
 
     // --- The survey of servers ---------------------------------------------------------------
 
+    /// How much longer or shorter times are here than where the mean service time is the usual.
+    fn scale(&self) -> f64 {
+        (self.seen.usual_service.unwrap_or(USUAL_SERVICE) / USUAL_SERVICE).clamp(1.0, MOST_SCALE)
+    }
+
     /// What all servers are looked at with.
     fn view(&self, held: &Held) -> View {
         let aim_left = self.aim_left(held);
@@ -314,10 +334,14 @@
         // With roughly exponential answer times one expected at `wait` misses its aim with probability
         // exp(-aim/wait): while that is below the fee, crossing does not pay.
         let fee = self.settings.crossing_fee;
+        let service = self.seen.service[held.class.0].time;
+        let soon = self.seen.probe_time.is_none_or(|time| time <= HOLD_WORTH * service);
         View {
-            service: self.seen.service[held.class.0].time,
+            service,
+            // Older than what is renewed: there is a probe to wait for.
+            hold_after: (HOLD_AFTER * service).max(FRESH * self.scale()),
             means: self.upstreams.means(),
-            may_hold: self.settings.limits.probes && held.holds < HOLDS && spare,
+            may_hold: self.settings.limits.probes && held.holds < HOLDS && spare && soon,
             room: self.room(held) * aim_left * if held.holds > 0 { HELD_ROOM } else { 1.0 },
             near_limit: if fee > 0.0 { aim_left / (1.0 / fee).ln().max(1.0) } else { 0.0 },
         }
@@ -333,13 +357,14 @@
         Some(Candidate {
             id,
             near: upstream.zone == self.settings.zone,
-            unsure: view.may_hold && self.now - upstream.reported_at > HOLD_AFTER * view.service,
+            unsure: view.may_hold && self.now - upstream.reported_at > view.hold_after,
             // One that has just failed this request is the likeliest to fail it again.
             healthy: self.takes_part(upstream) && held.tries.iter().all(|t| t.upstream != id),
             projected: (in_flight + 1.0) / kappa * slowness,
             depth,
             // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
-            idle: in_flight + 1.0 <= (IDLE * kappa).max(2.5 - IDLE_CROWDED * self.seen.refused),
+            idle: self.says_idle(upstream)
+                || in_flight + 1.0 <= (IDLE * kappa).max(2.5 - IDLE_CROWDED * self.seen.refused),
             wait: view.service * slowness * depth,
             warmth,
         })
@@ -371,7 +396,7 @@
         let ratio = |kind: &Kind| (kind.reports > 0.0).then(|| kind.in_flight / kind.utilisation);
         let listed = upstream.weight * ratio(&self.seen.fleet).unwrap_or(1.0);
         let kind = self.seen.kinds.get(&upstream.kind).and_then(ratio).unwrap_or(listed);
-        let fade = (-(self.now - upstream.reported_at) / FORGET).exp();
+        let fade = (-(self.now - upstream.reported_at) / (FORGET * self.scale())).exp();
         (kind + (upstream.kappa.unwrap_or(kind) - kind) * fade).max(0.1)
     }
 
@@ -385,6 +410,14 @@
         (upstream.reported + upstream.since_counted as f64).max(own)
     }
 
+    /// Whether one of unknown size says itself that it is little used, and has not been sent twice as much
+    /// since.
+    fn says_idle(&self, upstream: &Upstream) -> bool {
+        let sent = upstream.since_counted as f64;
+        let believed = upstream.is_heard && self.seen.lateness <= LATE && sent <= upstream.reported + 1.0;
+        upstream.kappa.is_none() && believed && upstream.utilisation.is_some_and(|u| u < IDLE)
+    }
+
     /// Service time relative to the mean server, from answers and from sends that are long unanswered.
     fn slowness(&self, upstream: &Upstream) -> f64 {
         let learnt = self.remembered(upstream);
@@ -400,7 +433,7 @@
     fn remembered(&self, upstream: &Upstream) -> f64 {
         let kind = self.seen.kinds.get(&upstream.kind).filter(|kind| kind.answers > 0.0);
         let pace = kind.unwrap_or(&self.seen.fleet).pace;
-        pace + (upstream.slowness - pace) * (-(self.now - upstream.learnt_at) / FORGET).exp()
+        pace + (upstream.slowness - pace) * (-(self.now - upstream.learnt_at) / (FORGET * self.scale())).exp()
     }
 
     fn takes_part(&self, upstream: &Upstream) -> bool {
@@ -421,11 +454,26 @@
         let view = self.view(held);
         let before = self.asked_for(held, &view);
         let near = if before.is_none() && held.holds == 0 { self.near(reach, held, &view) } else { None };
-        let pair = before.or(near).or_else(|| self.open(reach, held, &view))?;
+        let Some(pair) = before.or(near).or_else(|| self.open(reach, held, &view)) else {
+            self.ask_anyone(reach, &view, out);
+            return None;
+        };
         pair.iter().for_each(|drawn| self.probe(drawn.id, out));
         Some((pair, before.is_some()))
     }
 
+    /// Who is refused leaves something to learn from: else nothing would tell that there is room again.
+    fn ask_anyone(&mut self, reach: Reach, view: &View, out: &mut Vec<Action>) {
+        let mut looks = Looks::new(&self.upstreams, reach, true);
+        for _ in 0..2 {
+            let slot = looks.next(&mut self.upstreams, &mut self.rng);
+            let Some((id, upstream)) = slot.and_then(|slot| self.upstreams.at(slot)) else { return };
+            if self.now - upstream.reported_at > view.hold_after {
+                self.probe(id, out);
+            }
+        }
+    }
+
     /// Of the pair that was drawn before and asked since, those that still suit.
     fn asked_for(&self, held: &Held, view: &View) -> Option<[Candidate; 2]> {
         let limit = |c: &Candidate| {
@@ -515,9 +563,10 @@
 
     fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
         let (now, next, may_probe) = (self.now, self.next_send, self.settings.limits.probes);
+        let (fresh, lost) = (FRESH * self.scale(), STALE * self.scale());
         let ask = |upstream: &mut Upstream| {
-            let waiting = upstream.probe_sent.is_some_and(|sent| now - sent < STALE);
-            let due = may_probe && !waiting && now - upstream.reported_at > FRESH;
+            let waiting = upstream.probe_sent.is_some_and(|sent| now - sent < lost);
+            let due = may_probe && !waiting && now - upstream.reported_at > fresh;
             if due {
                 upstream.probe_sent = Some(now);
                 (upstream.asked_from, upstream.since_asked) = upstream.unheard(next, now);
@@ -666,12 +715,18 @@
         let (next, now) = (self.next_send, self.now);
         let take = |upstream: &mut Upstream| {
             // One that nobody asked for holds all that was sent.
-            if upstream.probe_sent.take().is_none() {
+            let asked_at = upstream.probe_sent.take();
+            if asked_at.is_none() {
                 (upstream.asked_from, upstream.since_asked) = upstream.unheard(next, now);
             }
-            upstream.outstanding.len() - upstream.since_asked
+            (upstream.outstanding.len() - upstream.since_asked, asked_at)
         };
-        let Some(ours) = self.upstreams.change(id, take).map(|ours| ours as f64) else { return };
+        let Some((ours, asked_at)) = self.upstreams.change(id, take) else { return };
+        if let Some(time) = asked_at.map(|at| now - at) {
+            let mean = self.seen.probe_time.get_or_insert(time);
+            *mean += SMOOTH * (time - *mean);
+        }
+        let ours = ours as f64;
         let (Some(report), true) = (report, answered) else { return };
         // Reports carry no age. One that lacks what we had out there when we asked is late, and
         // when many are, none is believed: each server then counts as unheard.
@@ -686,20 +741,34 @@
     fn take_report(&mut self, id: UpstreamId, report: Report, unheard: Option<(u64, usize)>) {
         let sound = |m: &f64| (0.0..=MOST_IN_FLIGHT).contains(m);
         let Some(in_flight) = report.in_flight.filter(sound) else { return };
-        let now = self.now;
+        let (now, scale) = (self.now, self.scale());
+        let means_over = MEANS_OVER * scale;
         let take = |upstream: &mut Upstream| {
             // Utilisation is a running mean while in-flight is of the moment: only means of both may be
             // divided.
-            let weight = 1.0 - (-(now - upstream.reported_at) / MEANS_OVER).exp();
+            let weight = 1.0 - (-(now - upstream.reported_at) / means_over).exp();
             let unheard = unheard.unwrap_or((upstream.asked_from, upstream.since_asked));
-            upstream.reports(in_flight, now, now + STALE, unheard);
+            upstream.reports(in_flight, now, now + STALE * scale, unheard);
+            upstream.utilisation = report.utilisation;
             upstream.mean_in_flight += weight * (in_flight - upstream.mean_in_flight);
             (weight, upstream.kind)
         };
         let Some((weight, kind)) = self.upstreams.change(id, take) else { return };
-        let Some(utilisation) = report.utilisation.filter(|u| *u >= UTILISATION_FLOOR) else { return };
+        let Some(utilisation) = report.utilisation.filter(|u| *u >= 0.0) else { return };
         // Servers that start with us begin their mean at 0: early ratios would call them huge.
-        if self.now < *self.seen.first_at.get_or_insert(self.now) + 2.0 * MEANS_OVER {
+        if self.now < *self.seen.first_at.get_or_insert(self.now) + 2.0 * means_over {
+            return;
+        }
+        if utilisation < UTILISATION_FLOOR {
+            let raise = |upstream: &mut Upstream| {
+                let (least, known) =
+                    (upstream.mean_in_flight / UTILISATION_FLOOR, upstream.kappa.unwrap_or(1.0));
+                if least > known {
+                    let step = if upstream.kappa.is_some() { weight * RISE } else { 1.0 };
+                    upstream.kappa = Some(known + step * (least - known));
+                }
+            };
+            self.upstreams.change(id, raise);
             return;
         }
         if utilisation < SATURATED {
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -180,6 +180,9 @@
     pub tenant_shares: Vec<f64>,
     /// Share of the telling reports that were late.
     pub lateness: f64,
+    /// Mean service time of what arrives, and mean time that a probe takes.
+    pub usual_service: Option<Millis>,
+    pub probe_time: Option<Millis>,
     /// When the first report came.
     pub first_at: Option<Millis>,
     /// The span over which the next call to discovery is spread, and whether one is to come.
@@ -199,6 +202,8 @@
             usual_density: None,
             tenant_shares: vec![0.0; tenants],
             lateness: 0.0,
+            usual_service: None,
+            probe_time: None,
             first_at: None,
             ask_wait: 0.0,
             ask_pending: false,
@@ -223,8 +228,9 @@
     pub weight: f64,
     pub started: Option<Millis>,
     pub kappa: Option<f64>,
-    /// Running mean of the reports.
+    /// Running mean of the reports, and how busy the last one said that it is.
     pub mean_in_flight: f64,
+    pub utilisation: Option<f64>,
     /// In flight by the last report, less those of ours that have been answered since.
     pub reported: f64,
     pub reported_at: Millis,
@@ -273,6 +279,8 @@
     pub service: Millis,
     pub means: Means,
     pub may_hold: bool,
+    /// Reports older than this make a request wait for another.
+    pub hold_after: Millis,
     /// The longest expected answer time that there is room for, and that keeps it near.
     pub room: Millis,
     pub near_limit: Millis,
@@ -307,6 +315,7 @@
             started: entry.started,
             kappa: None,
             mean_in_flight: 0.0,
+            utilisation: None,
             reported: 0.0,
             reported_at: f64::NEG_INFINITY,
             is_heard: false,
--- a/crates/stage/src/bin/sagemast-rig/main.rs
+++ b/crates/stage/src/bin/sagemast-rig/main.rs
@@ -5,6 +5,7 @@
 mod daemon_restart;
 mod daemon_scale;
 mod decide_scale;
+mod ordinary_path;
 mod report;
 
 use std::path::PathBuf;
@@ -37,6 +38,8 @@
     DaemonKill,
     /// What a decision of the module costs with 10 to 10,000 upstreams, in churn and in failures.
     DecideScale,
+    /// What a sidecar adds to a request, beside a bare pass-through to the same upstreams.
+    OrdinaryPath,
 }
 
 fn main() -> ExitCode {
@@ -58,6 +61,7 @@
             Scenario::DaemonRestart => daemon_restart::run(&program, cli.short).await,
             Scenario::DaemonScale => daemon_scale::run(&program, cli.short).await,
             Scenario::DaemonKill => daemon_kill::run(&program, cli.short).await,
+            Scenario::OrdinaryPath => ordinary_path::run(&program, cli.short).await,
             Scenario::DecideScale => decide_scale::run(cli.short),
         }
     });
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clients;
 pub mod discovery;
 pub mod effects;
+pub mod fixed;
 pub mod fleet;
 pub mod procfs;
 pub mod program;
