--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -1,7 +1,7 @@
 //! Every decision of the load balancer. The types it speaks in are in `src/api.rs`.
 //!
 //! Ordinary path: per request draw two ready servers at random and send to the one with the smaller projected
-//! utilisation (m+1)/κ. Read on in the order a request meets it: arrival, survey, draw, send, outcome; then
+//! utilisation (m+1)/κ. Read on in the order a request meets it: arrival, draw, look, send, outcome; then
 //! reports, health, cold starts, the list.
 
 use std::collections::BTreeSet;
@@ -322,7 +322,7 @@
 
     // --- The survey of servers ---------------------------------------------------------------
 
-    /// How much longer or shorter times are here than where the mean service time is the usual.
+    /// How much longer times are here than where the mean service time is the usual.
     fn scale(&self) -> f64 {
         (self.seen.usual_service.unwrap_or(USUAL_SERVICE) / USUAL_SERVICE).clamp(1.0, MOST_SCALE)
     }
