Crossing budgets: a pure plan that the module asks before a request leaves its building

Today a request crosses whenever the fee of the settings says so; nothing holds the total, and nothing counts it by class.

crates/pools holds token buckets by share of attempts, by second or by bytes, by class and direction; the fee grows as they empty, and they bend for five named reasons (down, full, late, failing, bound). decide/crossing.rs is what the draw makes of it: the plan only narrows whom a request may go to, never adds an attempt.

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -10,6 +10,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::api::*;
+use crate::crossing::{Attempt, CrossZone};
 use crate::fleet::{Fleet, Looks, Reach, Slot};
 use crate::state::*;
 
@@ -103,11 +104,13 @@
 /// The decision module of one sidecar. The same seed, settings and events give the same actions.
 #[derive(Debug)]
 pub struct Balancer {
-    settings: Settings,
+    pub(crate) settings: Settings,
     rng: Rand64,
-    now: Millis,
+    pub(crate) now: Millis,
+    /// What limits traffic that leaves the zone, if anything does.
+    pub(crate) cross: Option<Box<dyn CrossZone>>,
     requests: FxHashMap<RequestId, Held>,
-    upstreams: Fleet,
+    pub(crate) upstreams: Fleet,
     /// Sends that have not ended: their number in the books of their server. And the next number.
     sends: FxHashMap<(RequestId, AttemptNo), (u64, UpstreamId)>,
     next_send: u64,
@@ -126,6 +129,7 @@
             settings,
             rng: Rand64::new(u128::from(seed)),
             now: 0.0,
+            cross: None,
             requests: FxHashMap::default(),
             upstreams: Fleet::default(),
             sends: FxHashMap::default(),
@@ -155,7 +159,10 @@
             Event::Abandoned(request) => self.abandoned(request, out),
             Event::Probed { upstream, answered, report } => self.probed(upstream, answered, report, out),
             Event::Listed(news) => self.listed(news, out),
-            Event::Sidecars(count) => self.settings.sidecars = count,
+            Event::Sidecars(count) => {
+                self.settings.sidecars = count;
+                self.cross.iter_mut().for_each(|plan| plan.sidecars(self.now, count));
+            }
             Event::Woke(0) if std::mem::take(&mut self.seen.ask_pending) => out.push(Action::Subscribe),
             Event::Woke(token) => self.resume(token, out),
         }
@@ -246,7 +253,7 @@
             _ => known.odds,
         };
         let Some(held) = self.requests.get_mut(&request) else { return };
-        (held.odds, held.holds) = (odds, held.holds + 1);
+        (held.odds, held.holds, held.bend) = (odds, held.holds + 1, pair.iter().find_map(|c| c.bend));
         let most = HOLD_FOR * self.settings.classes[held.class.0].aim;
         let at = self.now + self.seen.probe_time.map_or(most, |time| most.min(HOLD_PROBES * time));
         out.push(Action::WakeAt { at: at.min(held.deadline), token: request.0 >> 1 });
@@ -287,7 +294,7 @@
     }
 
     /// Time until the answer loses its worth.
-    fn aim_left(&self, held: &Held) -> Millis {
+    pub(crate) fn aim_left(&self, held: &Held) -> Millis {
         held.deadline.min(held.arrived + self.settings.classes[held.class.0].aim) - self.now
     }
 
@@ -333,7 +340,8 @@
         let spare = aim_left > 2.0 * HOLD_FOR * self.settings.classes[held.class.0].aim;
         // With roughly exponential answer times one expected at `wait` misses its aim with probability
         // exp(-aim/wait): while that is below the fee, crossing does not pay.
-        let fee = self.settings.crossing_fee;
+        let terms = self.cross.as_ref().map(|plan| plan.terms(self.now, held.class));
+        let limit = |fee: f64| if fee > 0.0 { aim_left / (1.0 / fee).ln().max(1.0) } else { 0.0 };
         let service = self.seen.service[held.class.0].time;
         let soon = self.seen.probe_time.is_none_or(|time| time <= HOLD_WORTH * service);
         View {
@@ -343,7 +351,8 @@
             means: self.upstreams.means(),
             may_hold: self.settings.limits.probes && held.holds < HOLDS && spare && soon,
             room: self.room(held) * aim_left * if held.holds > 0 { HELD_ROOM } else { 1.0 },
-            near_limit: if fee > 0.0 { aim_left / (1.0 / fee).ln().max(1.0) } else { 0.0 },
+            near_limit: limit(terms.map_or(self.settings.crossing_fee, |terms| terms.fee)),
+            failing: terms.map_or(1.0, |terms| terms.bend_at),
         }
     }
 
@@ -356,7 +365,9 @@
         let depth = ((in_flight + 1.0) / kappa).max(1.0);
         Some(Candidate {
             id,
+            zone: upstream.zone,
             near: upstream.zone == self.settings.zone,
+            bend: None,
             unsure: view.may_hold && self.now - upstream.reported_at > view.hold_after,
             // One that has just failed this request is the likeliest to fail it again.
             healthy: self.takes_part(upstream) && held.tries.iter().all(|t| t.upstream != id),
@@ -366,6 +377,7 @@
             idle: self.says_idle(upstream)
                 || in_flight + 1.0 <= (IDLE * kappa).max(2.5 - IDLE_CROWDED * self.seen.refused),
             wait: view.service * slowness * depth,
+            failing: upstream.failure_rate,
             warmth,
         })
     }
@@ -479,7 +491,8 @@
         let limit = |c: &Candidate| {
             if held.holds == 1 && c.near { view.near_limit.min(view.room) } else { view.room }
         };
-        let suits = |c: &Candidate| c.healthy && view.has_room(c) && c.wait <= limit(c);
+        let fits = |c: &Candidate| c.healthy && view.has_room(c) && c.wait <= limit(c);
+        let suits = |c: &Candidate| fits(c) && self.still_pays(held, c);
         let again = |id| {
             self.look(self.upstreams.slot(id)?, held, view).filter(|c| self.is_serving(c.id) && suits(c))
         };
@@ -489,26 +502,32 @@
 
     /// Two near ones with so much room that crossing does not pay.
     fn near(&mut self, reach: Reach, held: &Held, view: &View) -> Option<[Candidate; 2]> {
-        if self.settings.crossing_fee <= 0.0 {
+        if view.near_limit == 0.0 {
             return None;
         }
         let reach = if reach == Reach::All { Reach::Zone(self.settings.zone) } else { reach };
         self.two(reach, held, view, false, |c| c.healthy && view.suits_near(c))
     }
 
-    /// Two with room, wherever they are.
-    fn open(&mut self, reach: Reach, held: &Held, view: &View) -> Option<[Candidate; 2]> {
+    /// Two with room that may be sent to, wherever they are.
+    pub(crate) fn anywhere(
+        &mut self,
+        reach: Reach,
+        held: &Held,
+        view: &View,
+        may: impl Fn(&Candidate) -> bool,
+    ) -> Option<[Candidate; 2]> {
         let mut healthy = false;
         let found = self.two(reach, held, view, false, |c| {
             healthy |= c.healthy;
-            c.healthy && view.has_room(c)
+            c.healthy && view.has_room(c) && may(c)
         });
         // Everyone looks bad: rather ask someone than no one.
-        if healthy { found } else { self.two(reach, held, view, true, |c| view.has_room(c)) }
+        if healthy { found } else { self.two(reach, held, view, true, |c| view.has_room(c) && may(c)) }
     }
 
     /// The first two that are wanted, in a random order; the one there is, twice, where there is only one.
-    fn two(
+    pub(crate) fn two(
         &mut self,
         reach: Reach,
         held: &Held,
@@ -535,8 +554,10 @@
         let view = self.view(held);
         let whole = self.upstreams.size(reach).1.max(1) as f64;
         let zone = if reach == Reach::All { Reach::Zone(self.settings.zone) } else { reach };
-        let near = if self.settings.crossing_fee > 0.0 {
-            self.count(zone, held, &view, |c| view.suits_near(c))
+        let near = if view.near_limit != 0.0 {
+            // Where nothing pays for a crossing, the near ones are drawn from as long as one has room.
+            let stays = self.stays(held.class);
+            self.count(zone, held, &view, |c| view.suits_near(c) || stays && c.near && view.has_room(c))
         } else {
             0.0
         };
@@ -574,6 +595,7 @@
             due
         };
         if self.upstreams.change(id, ask) == Some(true) {
+            self.tell_probed(id);
             out.push(Action::Probe(id));
         }
     }
@@ -582,9 +604,9 @@
         let Some(held) = self.requests.get(&request) else { return };
         let others = self.reach(held).is_some_and(|reach| self.upstreams.size(reach).1 > 1);
         let timeout = self.timeout(held, to, others);
-        let (class, attempt) = (held.class, AttemptNo(held.tries.len() as u32));
+        let (class, attempt, held_bend) = (held.class, AttemptNo(held.tries.len() as u32), held.bend);
         let (sent, number) = (self.now, self.next_send);
-        let Candidate { depth, wait, .. } = to;
+        let Candidate { depth, wait, zone, .. } = to;
         let enter = |upstream: &mut Upstream| {
             upstream.enter(number, Outstanding { class, sent, depth, wait });
             Try::new(to.id, upstream, sent)
@@ -597,6 +619,7 @@
             let pair = held.pair.take();
             self.wait_no_more(request, pair);
         }
+        self.tell_sent(Attempt { request, number: attempt, class, to: zone, bend: to.bend.or(held_bend) });
         out.push(Action::Send { request, upstream: to.id, timeout });
     }
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod api;
 pub mod brain;
+pub mod crossing;
 mod fleet;
 pub mod settings;
 mod state;
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -231,6 +231,11 @@
         self.tenants.iter().map(|tenant| tenant.name.clone()).collect()
     }
 
+    /// Names of the zones, by zone id.
+    pub fn zone_names(&self) -> &[String] {
+        &self.azs
+    }
+
     /// The number of a zone. One that the settings do not name gets a number that no other has.
     pub fn zone_named(&self, name: &str) -> u64 {
         number_of(&self.azs, name)
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::api::*;
+use crate::crossing::Bend;
 
 /// One send of a request.
 #[derive(Debug, Clone, Copy)]
@@ -35,12 +36,15 @@
     /// The share of all candidates that it was drawn from.
     pub odds: f64,
     pub holds: u32,
+    /// Why the pair was drawn across without a budget, if it was.
+    pub bend: Option<Bend>,
 }
 
 impl Held {
     pub fn new(class: ClassId, tenant: TenantId, arrived: Millis, time_left: Millis) -> Held {
         let deadline = arrived + time_left;
-        Held { class, tenant, arrived, deadline, tries: Vec::new(), pair: None, odds: 1.0, holds: 0 }
+        let (tries, pair, bend) = (Vec::new(), None, None);
+        Held { class, tenant, arrived, deadline, tries, pair, odds: 1.0, holds: 0, bend }
     }
 }
 
@@ -262,7 +266,10 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Candidate {
     pub id: UpstreamId,
+    pub zone: ZoneId,
     pub near: bool,
+    /// Why it is drawn across without a budget, if it is.
+    pub bend: Option<Bend>,
     /// Its load is not known of late, and may yet be asked for before the request is placed.
     pub unsure: bool,
     pub healthy: bool,
@@ -272,6 +279,7 @@
     pub depth: f64,
     pub idle: bool,
     pub wait: Millis,
+    pub failing: f64,
 }
 
 /// What one request sees all servers with.
@@ -284,6 +292,8 @@
     /// The longest expected answer time that there is room for, and that keeps it near.
     pub room: Millis,
     pub near_limit: Millis,
+    /// A near one that fails more often is no better than one across.
+    pub failing: f64,
 }
 
 impl View {
@@ -294,7 +304,7 @@
 
     /// Asked only where crossing has a fee.
     pub fn suits_near(&self, c: &Candidate) -> bool {
-        c.near && self.has_room(c) && (c.wait <= self.near_limit || c.unsure)
+        c.near && self.has_room(c) && (c.wait <= self.near_limit || c.unsure) && c.failing <= self.failing
     }
 }
 
--- /dev/null
+++ b/crates/pools/src/counts.rs
@@ -0,0 +1,304 @@
+//! What crosses, counted: by class and zone, with every reason. Kept by one plan after another, read by anyone while
+//! they run.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use sagemast_decide::api::{ClassId, ZoneId};
+use sagemast_decide::crossing::Bend;
+use serde::{Deserialize, Serialize};
+
+/// Zones that the settings do not name are counted together under this name.
+pub const ELSEWHERE: &str = "elsewhere";
+
+/// Something that is counted of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A first attempt.
+    First,
+    /// A further one.
+    Again,
+    /// One that crossed without a budget.
+    Bent(Bend),
+    /// One that never left: no connection came up.
+    Unsent,
+    /// One that was served.
+    Served,
+    /// One that came to anything else.
+    Failed,
+    /// Bytes of request bodies.
+    BytesOut,
+    /// Bytes of answers.
+    BytesIn,
+}
+
+const KINDS: usize = 12;
+
+impl Kind {
+    fn place(self) -> usize {
+        match self {
+            Kind::First => 0,
+            Kind::Again => 1,
+            Kind::Unsent => 2,
+            Kind::Served => 3,
+            Kind::Failed => 4,
+            Kind::BytesOut => 5,
+            Kind::BytesIn => 6,
+            Kind::Bent(Bend::Down) => 7,
+            Kind::Bent(Bend::Full) => 8,
+            Kind::Bent(Bend::Late) => 9,
+            Kind::Bent(Bend::Failing) => 10,
+            Kind::Bent(Bend::Bound) => 11,
+        }
+    }
+}
+
+/// What is counted is told apart by these names. Their number, which settings bound, is all that the table's size
+/// depends on.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Names {
+    /// Of classes, by id.
+    pub classes: Vec<String>,
+    /// Of zones, by id.
+    pub zones: Vec<String>,
+    /// The zone that all of this leaves from.
+    pub home: usize,
+}
+
+/// The counts of one instance, from when its table was made on.
+#[derive(Debug)]
+pub struct Counts {
+    names: Names,
+    /// By class, then zone.
+    attempts: Vec<[AtomicU64; KINDS]>,
+    /// By zone.
+    probes: Vec<AtomicU64>,
+}
+
+impl Counts {
+    /// All zero.
+    pub fn new(names: Names) -> Counts {
+        let zones = names.zones.len() + 1;
+        let attempts = (0..names.classes.len() * zones).map(|_| Default::default()).collect();
+        Counts { names, attempts, probes: (0..zones).map(|_| AtomicU64::new(0)).collect() }
+    }
+
+    /// What it tells apart.
+    pub fn names(&self) -> &Names {
+        &self.names
+    }
+
+    fn zone(&self, zone: ZoneId) -> usize {
+        usize::try_from(zone.0).unwrap_or(usize::MAX).min(self.names.zones.len())
+    }
+
+    /// Counts so many more.
+    pub fn add(&self, class: ClassId, to: ZoneId, kind: Kind, more: u64) {
+        let cell = class.0 * self.probes.len() + self.zone(to);
+        if let Some(cell) = self.attempts.get(cell) {
+            cell[kind.place()].fetch_add(more, Ordering::Relaxed);
+        }
+    }
+
+    /// Counts a probe.
+    pub fn probe(&self, to: ZoneId) {
+        self.probes[self.zone(to)].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The counts as they stand, without rows of zeros.
+    pub fn totals(&self) -> Totals {
+        let name = |zone: usize| self.names.zones.get(zone).map_or(ELSEWHERE, String::as_str).to_owned();
+        let from = name(self.names.home);
+        let zones = self.probes.len();
+        let mut totals = Totals::default();
+        for (at, cell) in self.attempts.iter().enumerate() {
+            let [first, again, unsent, served, failed, bytes_out, bytes_in, down, full, late, failing, bound] =
+                std::array::from_fn(|kind| cell[kind].load(Ordering::Relaxed));
+            if first + again > 0 {
+                let class = self.names.classes[at / zones].clone();
+                let bent = Bent { down, full, late, failing, bound };
+                let (from, to) = (from.clone(), name(at % zones));
+                totals.rows.push(Row {
+                    class,
+                    from,
+                    to,
+                    first,
+                    again,
+                    unsent,
+                    served,
+                    failed,
+                    bytes_out,
+                    bytes_in,
+                    bent,
+                });
+            }
+        }
+        for (zone, probes) in self.probes.iter().enumerate() {
+            let probes = probes.load(Ordering::Relaxed);
+            if probes > 0 {
+                totals.probes.push(Probes { from: from.clone(), to: name(zone), probes });
+            }
+        }
+        totals
+    }
+
+    /// Adds what was counted before, as far as its names are still there. Others' are dropped.
+    pub fn resume(&self, before: &Totals) {
+        let find = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        let zone = |name: &str| match find(&self.names.zones, name) {
+            Some(zone) => Some(zone),
+            None => (name == ELSEWHERE).then_some(self.names.zones.len()),
+        };
+        let home = self.names.zones.get(self.names.home);
+        for row in before.rows.iter().filter(|row| Some(&row.from) == home) {
+            let Some((class, to)) = find(&self.names.classes, &row.class).zip(zone(&row.to)) else {
+                continue;
+            };
+            let Bent { down, full, late, failing, bound } = row.bent;
+            let counts = [
+                (Kind::First, row.first),
+                (Kind::Again, row.again),
+                (Kind::Unsent, row.unsent),
+                (Kind::Served, row.served),
+                (Kind::Failed, row.failed),
+                (Kind::BytesOut, row.bytes_out),
+                (Kind::BytesIn, row.bytes_in),
+                (Kind::Bent(Bend::Down), down),
+                (Kind::Bent(Bend::Full), full),
+                (Kind::Bent(Bend::Late), late),
+                (Kind::Bent(Bend::Failing), failing),
+                (Kind::Bent(Bend::Bound), bound),
+            ];
+            for (kind, count) in counts {
+                self.add(ClassId(class), ZoneId(to as u64), kind, count);
+            }
+        }
+        for row in before.probes.iter().filter(|row| Some(&row.from) == home) {
+            if let Some(to) = zone(&row.to) {
+                self.probes[to].fetch_add(row.probes, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+/// Attempts that crossed without a budget, by reason. See [`Bend`].
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bent {
+    /// No near server took part.
+    pub down: u64,
+    /// No near server had room.
+    pub full: u64,
+    /// Near ones would have answered too late.
+    pub late: u64,
+    /// Near ones failed too often.
+    pub failing: u64,
+    /// Only those across drop its repeats.
+    pub bound: u64,
+}
+
+impl Bent {
+    /// For all reasons.
+    pub fn sum(&self) -> u64 {
+        self.down + self.full + self.late + self.failing + self.bound
+    }
+}
+
+/// What went from one zone to one, of one class.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The class.
+    pub class: String,
+    /// The zone of the sidecars.
+    pub from: String,
+    /// The zone of the servers.
+    pub to: String,
+    /// First attempts.
+    pub first: u64,
+    /// Further ones.
+    pub again: u64,
+    /// Of both, those that never left: no connection came up.
+    pub unsent: u64,
+    /// Of both, those that were served.
+    pub served: u64,
+    /// Of both, those that came to anything else.
+    pub failed: u64,
+    /// Bytes of request bodies.
+    pub bytes_out: u64,
+    /// Bytes of answers' bodies.
+    pub bytes_in: u64,
+    /// Of both, those that crossed without a budget.
+    pub bent: Bent,
+}
+
+impl Row {
+    /// Whether it crosses.
+    pub fn crosses(&self) -> bool {
+        self.from != self.to
+    }
+
+    /// First and further attempts.
+    pub fn attempts(&self) -> u64 {
+        self.first + self.again
+    }
+
+    fn add(&mut self, other: &Row) {
+        self.first += other.first;
+        self.again += other.again;
+        self.unsent += other.unsent;
+        self.served += other.served;
+        self.failed += other.failed;
+        self.bytes_out += other.bytes_out;
+        self.bytes_in += other.bytes_in;
+        self.bent.down += other.bent.down;
+        self.bent.full += other.bent.full;
+        self.bent.late += other.bent.late;
+        self.bent.failing += other.bent.failing;
+        self.bent.bound += other.bent.bound;
+    }
+}
+
+/// Probes from one zone to one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Probes {
+    /// The zone of the sidecars.
+    pub from: String,
+    /// The zone of the servers.
+    pub to: String,
+    /// How many.
+    pub probes: u64,
+}
+
+/// The counts of one or many instances.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Totals {
+    /// Attempts.
+    pub rows: Vec<Row>,
+    /// Probes.
+    pub probes: Vec<Probes>,
+}
+
+impl Totals {
+    /// Adds another's.
+    pub fn add(&mut self, other: &Totals) {
+        for row in &other.rows {
+            let same =
+                |mine: &&mut Row| (&mine.class, &mine.from, &mine.to) == (&row.class, &row.from, &row.to);
+            match self.rows.iter_mut().find(same) {
+                Some(mine) => mine.add(row),
+                None => self.rows.push(row.clone()),
+            }
+        }
+        for row in &other.probes {
+            match self.probes.iter_mut().find(|mine| (&mine.from, &mine.to) == (&row.from, &row.to)) {
+                Some(mine) => mine.probes += row.probes,
+                None => self.probes.push(row.clone()),
+            }
+        }
+    }
+
+    /// Attempts of a class, or of all: all of them, and those that crossed.
+    pub fn share(&self, class: Option<&str>) -> (u64, u64) {
+        let rows = || self.rows.iter().filter(|row| class.is_none_or(|class| row.class == class));
+        let crossed = rows().filter(|row| row.crosses()).map(Row::attempts).sum();
+        (rows().map(Row::attempts).sum(), crossed)
+    }
+}
--- /dev/null
+++ b/crates/pools/tests/plan.rs
@@ -0,0 +1,233 @@
+//! The plan under any order of attempts, ends, changes and time: budgets hold and accounts return to zero.
+
+use std::sync::Arc;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use sagemast_decide::api::*;
+use sagemast_decide::crossing::{Attempt, Bend, CrossZone};
+use sagemast_pools::counts::{Counts, Names, Totals};
+use sagemast_pools::crossing::{Budget, Measure, Plan, Rules};
+
+const HOME: ZoneId = ZoneId(0);
+const FAR: ZoneId = ZoneId(1);
+
+fn names() -> Names {
+    let own = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect();
+    Names { classes: own(&["fetch", "bill"]), zones: own(&["howard-ave", "pass-road"]), home: 0 }
+}
+
+fn budget(measure: Measure, burst: f64) -> Budget {
+    Budget { classes: None, to: None, measure, burst }
+}
+
+fn plan(budgets: Vec<Budget>, sidecars: u32) -> Plan {
+    let rules = Rules { fee: 0.03, bend_at: 0.2, bends: Bend::ALL.to_vec(), budgets };
+    Plan::new(rules, Arc::new(Counts::new(names())), sidecars, 0.0)
+}
+
+fn attempt(number: u64, to: ZoneId, bend: Option<Bend>) -> Attempt {
+    Attempt { request: RequestId(number), number: AttemptNo(0), class: ClassId(0), to, bend }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// An attempt that wants to cross, and whether it does so in any case.
+    Cross(bool),
+    Stay,
+    End(usize, u8, u64),
+    Wait(f64),
+    Sidecars(u32),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => any::<bool>().prop_map(Step::Cross),
+        4 => Just(Step::Stay),
+        4 => (0..64_usize, 0..3_u8, 0..100_000_u64).prop_map(|(which, how, bytes)| Step::End(which, how, bytes)),
+        2 => (0.0..500.0).prop_map(Step::Wait),
+        1 => (1..6_u32).prop_map(Step::Sidecars),
+    ]
+}
+
+fn outcome(how: u8) -> Outcome {
+    [Outcome::Ok, Outcome::Reset, Outcome::Unreachable][usize::from(how)]
+}
+
+proptest! {
+    #[test]
+    fn a_share_holds_at_all_times(share in 0.0..0.5_f64, burst in 1.0..20.0_f64, steps in vec(step(), 0..400)) {
+        let mut plan = plan(vec![budget(Measure::Share(share), burst)], 2);
+        let (mut now, mut next, mut out) = (0.0, 0, Vec::new());
+        let (mut sent, mut paid) = (0_u64, 0_u64);
+        for step in steps {
+            match step {
+                Step::Cross(bends) => {
+                    let pays = plan.pays(now, ClassId(0), Some(FAR));
+                    let bend = (!pays).then_some(Bend::Full);
+                    if !pays && !bends {
+                        continue;
+                    }
+                    next += 1;
+                    out.push(next);
+                    plan.sent(now, attempt(next, FAR, bend));
+                    (sent, paid) = (sent + 1, paid + u64::from(pays));
+                }
+                Step::Stay => {
+                    next += 1;
+                    out.push(next);
+                    plan.sent(now, attempt(next, HOME, None));
+                    sent += 1;
+                }
+                Step::End(which, how, bytes) if !out.is_empty() => {
+                    let number = out.swap_remove(which % out.len());
+                    let went = outcome(how);
+                    plan.ended(now, RequestId(number), AttemptNo(0), went, [bytes, bytes]);
+                    // Twice is once.
+                    plan.ended(now, RequestId(number), AttemptNo(0), went, [bytes, bytes]);
+                }
+                Step::End(..) => {}
+                Step::Wait(span) => now += span,
+                Step::Sidecars(count) => plan.sidecars(now, count),
+            }
+            let (level, most) = plan.levels(now).next().expect("one budget");
+            prop_assert!(level.abs() <= most, "{level} of {most}");
+            let totals = plan.counts().totals();
+            let unsent: u64 = totals.rows.iter().filter(|row| row.crosses()).map(|row| row.unsent).sum();
+            prop_assert!(
+                paid as f64 <= share * sent as f64 + unsent as f64 + 1e-3,
+                "{paid} were paid for of {sent}, of which {unsent} never left"
+            );
+            prop_assert_eq!(plan.out(), out.len());
+            prop_assert_eq!(totals.share(None), (sent, totals.share(None).1));
+        }
+    }
+
+    #[test]
+    fn a_rate_holds_in_every_span(rate in 0.1..50.0_f64, steps in vec((0.0..300.0_f64, 0..3_u8), 1..300)) {
+        let burst = 5.0;
+        let mut plan = plan(vec![budget(Measure::PerSecond(rate), burst)], 1);
+        let (mut now, mut paid) = (0.0, Vec::new());
+        for (number, (span, _)) in steps.into_iter().enumerate() {
+            now += span;
+            if plan.pays(now, ClassId(0), Some(FAR)) {
+                plan.sent(now, attempt(number as u64, FAR, None));
+                paid.push(now);
+            }
+        }
+        for (first, from) in paid.iter().enumerate() {
+            for (last, until) in paid.iter().enumerate().skip(first) {
+                let most = burst + rate * (until - from) / 1e3 + 1e-3;
+                prop_assert!((last - first + 1) as f64 <= most, "{} in {} ms", last - first + 1, until - from);
+            }
+        }
+    }
+
+    #[test]
+    fn bytes_are_paid_as_they_turn_out(rate in 1_000.0..1e6_f64, bytes in vec(0..200_000_u64, 1..60)) {
+        let burst = 1e9;
+        let mut plan = plan(vec![budget(Measure::BytesPerSecond(rate), burst)], 1);
+        let now = 1e6;
+        let before = plan.levels(now).next().expect("one").0;
+        for number in 0..bytes.len() {
+            plan.sent(now, attempt(number as u64, FAR, None));
+        }
+        for (number, moved) in bytes.iter().enumerate() {
+            plan.ended(now, RequestId(number as u64), AttemptNo(0), Outcome::Ok, [*moved, 0]);
+        }
+        let spent = before - plan.levels(now).next().expect("one").0;
+        prop_assert!((spent - bytes.iter().sum::<u64>() as f64).abs() < 1.0, "{spent}");
+        prop_assert_eq!(plan.out(), 0);
+    }
+
+    #[test]
+    fn the_fee_lies_between_its_ends_and_grows_as_the_budget_is_used_up(spend in 0..40_u32) {
+        let mut plan = plan(vec![budget(Measure::Share(1.0), 20.0)], 1);
+        (0..20).for_each(|number| plan.sent(0.0, attempt(number, HOME, None)));
+        let mut before = plan.terms(0.0, ClassId(0)).fee;
+        prop_assert!((before - 0.03).abs() < 1e-9, "full: {before}");
+        for number in 0..spend {
+            // One is earned by each attempt; two are spent.
+            plan.sent(0.0, attempt(100 + u64::from(number), FAR, None));
+            plan.sent(0.0, Attempt { class: ClassId(9), ..attempt(200 + u64::from(number), FAR, None) });
+            let fee = plan.terms(0.0, ClassId(0)).fee;
+            prop_assert!((0.03 - 1e-9..=0.2 + 1e-9).contains(&fee) && fee + 1e-9 >= before.min(0.2), "{fee}");
+            before = fee;
+        }
+    }
+
+    #[test]
+    fn counts_go_on_from_what_was_counted(rows in vec((0..2_usize, 0..3_u64, 0..5_u64), 0..20)) {
+        let mut plan = plan(Vec::new(), 1);
+        for (number, (class, to, bytes)) in rows.into_iter().enumerate() {
+            let number = number as u64;
+            let bend = (to == 1).then_some(Bend::Late);
+            plan.sent(0.0, Attempt { class: ClassId(class), ..attempt(number, ZoneId(to), bend) });
+            plan.ended(0.0, RequestId(number), AttemptNo(0), Outcome::Ok, [bytes, 2 * bytes]);
+            plan.probed(ZoneId(to));
+        }
+        let before = plan.counts().totals();
+        let text = serde_json::to_string(&before).expect("it has a form");
+        let after = Counts::new(names());
+        after.resume(&serde_json::from_str(&text).expect("it is read as it was written"));
+        prop_assert_eq!(after.totals(), before.clone());
+        after.resume(&before);
+        let mut twice = before.clone();
+        twice.add(&before);
+        prop_assert_eq!(after.totals(), twice);
+        let other = Counts::new(Names { classes: vec!["other".to_owned()], ..names() });
+        other.resume(&before);
+        prop_assert_eq!(other.totals(), Totals { rows: Vec::new(), ..other.totals() });
+    }
+}
+
+#[test]
+fn a_new_plan_has_no_budget_and_a_changed_one_keeps_what_is_the_same() {
+    let (share, rate) = (budget(Measure::Share(0.5), 10.0), budget(Measure::PerSecond(100.0), 4.0));
+    let mut plan = plan(vec![share.clone(), rate.clone()], 1);
+    assert!(!plan.pays(0.0, ClassId(0), None), "a restart makes no budget");
+    (0..20).for_each(|number| plan.sent(0.0, attempt(number, HOME, None)));
+    assert!(plan.pays(100.0, ClassId(0), None));
+    let rules = Rules { fee: 0.1, bend_at: 0.3, bends: Vec::new(), budgets: vec![rate.clone(), share] };
+    plan.change(rules, 100.0);
+    assert_eq!(plan.levels(100.0).collect::<Vec<_>>(), [(4.0, 4.0), (10.0, 10.0)]);
+    assert_eq!(plan.out(), 20, "what is out is still accounted for");
+    assert!(!plan.bends(Bend::Down));
+    let rules =
+        Rules { fee: 0.1, bend_at: 0.3, bends: Vec::new(), budgets: vec![Budget { burst: 5.0, ..rate }] };
+    plan.change(rules, 100.0);
+    assert!(!plan.pays(100.0, ClassId(0), None), "this one is new");
+}
+
+#[test]
+fn a_budget_for_one_direction_closes_only_that() {
+    let mut to = budget(Measure::Share(0.0), 1.0);
+    to.to = Some(vec![ZoneId(2)]);
+    let names = Names { zones: ["a", "b", "c"].map(str::to_owned).to_vec(), ..names() };
+    let rules = Rules { fee: 0.03, bend_at: 0.2, bends: Vec::new(), budgets: vec![to] };
+    let plan = Plan::new(rules, Arc::new(Counts::new(names)), 1, 0.0);
+    let pays = [None, Some(ZoneId(1)), Some(ZoneId(2))].map(|to| plan.pays(0.0, ClassId(0), to));
+    assert_eq!(pays, [true, true, false]);
+    assert!((plan.terms(0.0, ClassId(0)).fee - 0.03).abs() < 1e-9);
+}
+
+#[test]
+fn many_sidecars_share_one_rate() {
+    let mut one = plan(vec![budget(Measure::PerSecond(10.0), 10.0)], 1);
+    let mut ten = plan(vec![budget(Measure::PerSecond(10.0), 10.0)], 10);
+    let crossings = |plan: &mut Plan| {
+        let mut paid = 0;
+        for ms in 0..10_000_u64 {
+            if plan.pays(ms as f64, ClassId(0), Some(FAR)) {
+                plan.sent(ms as f64, attempt(ms, FAR, None));
+                paid += 1;
+            }
+        }
+        paid
+    };
+    let (alone, each) = (crossings(&mut one), crossings(&mut ten));
+    assert!((95..=110).contains(&alone), "{alone}");
+    assert!((9..=11).contains(&each), "{each}");
+    ten.sidecars(10_000.0, 1);
+    assert!(ten.levels(20_000.0).next().expect("one").0 > 9.0, "alone again it has all of it");
+}
