Crossing budgets reach sidecar, daemon and ctl; sagemast-rig crossing over two buildings

Operators need to set a budget, see what crosses by class, and change it without dropping anything.

An instance takes a file of limits (key pools, or SAGEMAST_POOLS for the single sidecar); apply changes it in place and what budgets hold stays; counts outlast generations, and kills where there is a state directory. ctl crossing shows attempts, share, bytes, retries and bends by class and direction.

--- a/crates/cli/src/ctl.rs
+++ b/crates/cli/src/ctl.rs
@@ -8,7 +8,10 @@
 use clap::{Args, Subcommand};
 use sagemast_daemon::control;
 use sagemast_daemon::fleet_file;
-use sagemast_daemon::frames::{Answer, Ask, Changes, Fault, Instance, Kind, Outcome, ProcessStatus, Reply};
+use sagemast_daemon::frames::{
+    Answer, Ask, Changes, CrossingReport, Fault, Instance, Kind, Outcome, ProcessStatus, Reply,
+};
+use sagemast_pools::counts::Totals;
 
 /// A daemon answers at once, but for an upgrade.
 const ANSWER: Duration = Duration::from_secs(15);
@@ -60,6 +63,11 @@
         /// Its name.
         name: String,
     },
+    /// Show what crosses between zones, by class, and how far budgets are used up.
+    Crossing {
+        /// Of one instance; of all together if it is not given.
+        name: Option<String>,
+    },
     /// Show the process: budgets, threads, how many instances are how far.
     Status,
     /// Run an instance that was stopped, drained or left alone after failures.
@@ -137,6 +145,7 @@
     let ask = match &arguments.command {
         Command::List => Ask::List,
         Command::Show { name } => Ask::Show { name: name.clone() },
+        Command::Crossing { name } => Ask::Crossing { name: name.clone() },
         Command::Status => Ask::Status,
         Command::Start { name } => Ask::Start { name: name.clone() },
         Command::Stop { name } => Ask::Stop { name: name.clone() },
@@ -224,7 +233,7 @@
                     instances.iter().all(|instance| has_come_about(command, instance))
                 }
                 Answer::Process(process) => process.settled,
-                Answer::Changes(_) | Answer::Done(_) => true,
+                Answer::Changes(_) | Answer::Crossing(_) | Answer::Done(_) => true,
             },
         };
         if there {
@@ -252,6 +261,7 @@
         (Command::Show { .. }, Answer::Instances(instances)) => instances.iter().for_each(show),
         (_, Answer::Instances(instances)) => list(instances),
         (_, Answer::Process(process)) => status(process),
+        (_, Answer::Crossing(reports)) => crossing(reports),
         (_, Answer::Changes(changes)) => print_changes(changes),
         (_, Answer::Done(text)) => println!("{text}"),
     }
@@ -275,15 +285,76 @@
             i.note.clone().unwrap_or_default(),
         ]
     }));
-    let widths: [usize; 10] =
+    table(&rows);
+}
+
+/// Prints rows in columns as wide as they need to be.
+fn table<const COLUMNS: usize>(rows: &[[String; COLUMNS]]) {
+    let widths: [usize; COLUMNS] =
         std::array::from_fn(|at| rows.iter().map(|row| row[at].len()).max().unwrap_or(0));
-    for row in &rows {
+    for row in rows {
         let cells: Vec<String> =
             row.iter().zip(widths).map(|(cell, width)| format!("{cell:<width$}")).collect();
         println!("{}", cells.join("  ").trim_end());
     }
 }
 
+fn crossing(reports: &[CrossingReport]) {
+    if reports.is_empty() {
+        return println!("nothing is counted: no instance has a key `pools` in the fleet file");
+    }
+    let mut totals = Totals::default();
+    reports.iter().for_each(|report| totals.add(&report.totals));
+    let head = [
+        "CLASS", "FROM", "TO", "ATTEMPTS", "SHARE", "AGAIN", "SERVED", "FAILED", "UNSENT", "OUT", "IN",
+        "BENT",
+    ];
+    let mut rows = vec![head.map(str::to_owned)];
+    totals.rows.sort_by(|a, b| (&a.class, &a.from, &a.to).cmp(&(&b.class, &b.from, &b.to)));
+    for row in &totals.rows {
+        let of = totals.rows.iter().filter(|other| (&other.class, &other.from) == (&row.class, &row.from));
+        let all: u64 = of.map(|other| other.attempts()).sum();
+        let bent = row.bent;
+        let bent = [
+            ("down", bent.down),
+            ("full", bent.full),
+            ("late", bent.late),
+            ("failing", bent.failing),
+            ("bound", bent.bound),
+        ];
+        let bent =
+            bent.into_iter().filter(|(_, count)| *count > 0).map(|(why, count)| format!("{count} {why}"));
+        rows.push([
+            row.class.clone(),
+            row.from.clone(),
+            row.to.clone(),
+            row.attempts().to_string(),
+            format!("{:.1} %", 100.0 * row.attempts() as f64 / all.max(1) as f64),
+            row.again.to_string(),
+            row.served.to_string(),
+            row.failed.to_string(),
+            row.unsent.to_string(),
+            row.bytes_out.to_string(),
+            row.bytes_in.to_string(),
+            bent.collect::<Vec<_>>().join(", "),
+        ]);
+    }
+    table(&rows);
+    println!();
+    for probes in &totals.probes {
+        println!("{:<12} {} from {} to {}", "probes", probes.probes, probes.from, probes.to);
+    }
+    let (all, crossed) = totals.share(None);
+    let share = 100.0 * crossed as f64 / all.max(1) as f64;
+    println!("{:<12} {crossed} of {all} attempts, {share:.2} %", "crossed");
+    for report in reports {
+        for budget in &report.budgets {
+            let (level, burst) = (budget.level, budget.burst);
+            println!("{:<12} {}: {}, {level:.1} of {burst:.1} left", "budget", report.name, budget.budget);
+        }
+    }
+}
+
 fn show(i: &Instance) {
     let mut rows = vec![
         ("name", i.name.clone()),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -10,6 +10,7 @@
 use clap::{Parser, Subcommand};
 use sagemast_daemon::fleet_file;
 use sagemast_daemon::supervisor::{self, Options};
+use sagemast_pools::file::{Fault, File as PoolsFile};
 use sagemast_sidecar::config::Config;
 use sagemast_sidecar::log::Log;
 
@@ -24,7 +25,7 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Tell all that is wrong with a configuration: a fleet file (TOML) or a sidecar's (JSON).
+    /// Tell all that is wrong with a configuration: a fleet file or one of limits (TOML), or a sidecar's (JSON).
     Check {
         /// The file.
         file: PathBuf,
@@ -74,6 +75,14 @@
     }
 }
 
+/// What is wrong with a file that holds limits (`deploy/pools.toml`) by itself; `None` if it is another. Whether its
+/// names are those of an instance shows where an instance names it.
+fn limits(file: &Path) -> Option<Result<PoolsFile, Vec<Fault>>> {
+    let text = std::fs::read_to_string(file).ok()?;
+    let is_limits = text.lines().any(|line| line.trim_start().starts_with("[crossing]"));
+    is_limits.then(|| PoolsFile::read(&text))
+}
+
 /// Prints every fault, a line each, or that there is none.
 fn check(file: &Path) -> ExitCode {
     let faults: Vec<String> = if file.extension().is_some_and(|ending| ending == "json") {
@@ -81,6 +90,9 @@
         let faults = text.and_then(|text| Config::faults(&text).map_or_else(|| Ok(()), Err));
         let shown = file.display();
         faults.err().into_iter().flatten().map(|fault| format!("{shown}: {fault}")).collect()
+    } else if let Some(limits) = limits(file) {
+        let shown = file.display();
+        limits.err().into_iter().flatten().map(|fault| format!("{shown}:{fault}")).collect()
     } else {
         match fleet_file::load(file) {
             Ok(fleet) => {
--- a/crates/cli/src/sidecar.rs
+++ b/crates/cli/src/sidecar.rs
@@ -6,8 +6,10 @@
 use anyhow::{Context, Result, bail};
 use tokio::signal::unix::{SignalKind, signal};
 
+use sagemast_pools::file::File;
 use sagemast_sidecar::budget::Budgets;
 use sagemast_sidecar::config::Config;
+use sagemast_sidecar::crossing::Crossing;
 use sagemast_sidecar::front;
 use sagemast_sidecar::instance::{Control, Drain, Ended, Instance, Parts};
 use sagemast_sidecar::log::Log;
@@ -33,6 +35,7 @@
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
     // Unhandled it would end the program; so it is taken before anyone can know that the program runs.
     let mut hangup = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
+    let crossing = budgets(&config)?;
     let listener = front::listen(config.listen)?;
     let address = listener.local_addr().context("the listener has no address")?;
     log.line(format!("listening on {address}"));
@@ -42,6 +45,7 @@
         known: config.known,
         listener: Arc::new(listener),
         budgets: Budgets::of(config.limits.connections()),
+        crossing: crossing.clone(),
         log: log.clone(),
         listening: Outlet::nowhere(),
         standby: false,
@@ -52,7 +56,7 @@
         tokio::select! {
             _ = terminate.recv() => break log.line("SIGTERM: finishing what is held"),
             _ = interrupt.recv() => break log.line("SIGINT: finishing what is held"),
-            _ = hangup.recv() => reload(address, &control, log),
+            _ = hangup.recv() => reload(address, &control, crossing.as_ref(), log),
             // Without it nothing is answered: better to be started anew.
             ended = &mut running => match ended {
                 Ok(Ended::Failed(reason)) => bail!("{reason}"),
@@ -60,6 +64,7 @@
             },
         }
     }
+    told(crossing.as_ref(), log);
     let at_most = control.longest_deadline() + LAST_MARGIN;
     control.drain(Drain::Close { linger: STILL_COMING, at_most });
     match running.await.context("the instance has failed")? {
@@ -73,9 +78,19 @@
 }
 
 /// Reads the configuration again. One that is not sound changes nothing.
-fn reload(listening: std::net::SocketAddr, control: &Control, log: &Log) {
-    match Config::from_env() {
-        Ok(config) => {
+fn reload(listening: std::net::SocketAddr, control: &Control, crossing: Option<&Crossing>, log: &Log) {
+    told(crossing, log);
+    let read = Config::from_env().and_then(|config| Ok((budgets(&config)?, config)));
+    match read {
+        Ok((limits, config)) => {
+            match (crossing, limits) {
+                // Names, and so counts, follow from settings that take a restart.
+                (Some(Crossing { counts, .. }), Some(new)) if *counts.names() == *new.counts.names() => {
+                    control.set_crossing(Some(Crossing { counts: counts.clone(), ..new }));
+                }
+                (None, None) => {}
+                _ => log.line("SIGHUP: other zones or classes for SAGEMAST_POOLS take a restart"),
+            }
             log.line(format!("SIGHUP: discovery is at {}", config.discovery));
             if config.listen.port() != 0 && config.listen != listening {
                 log.line(format!("SIGHUP: listening on {} takes a restart", config.listen));
@@ -85,3 +100,33 @@
         Err(error) => log.line(format!("SIGHUP: the old configuration stays: {error:#}")),
     }
 }
+
+/// Budgets for traffic between zones, from the file that SAGEMAST_POOLS names, if it is set.
+fn budgets(config: &Config) -> Result<Option<Crossing>> {
+    let Some(path) = std::env::var_os("SAGEMAST_POOLS") else { return Ok(None) };
+    let shown = path.to_string_lossy();
+    let text = std::fs::read_to_string(&path).with_context(|| format!("cannot read {shown}"))?;
+    let read = File::read(&text).and_then(|file| Crossing::of(&file, &config.settings));
+    match read {
+        Ok(crossing) => Ok(Some(crossing)),
+        Err(faults) => {
+            let lines: Vec<String> = faults.iter().map(|fault| format!("{shown}:{fault}")).collect();
+            bail!("{}", lines.join("; "))
+        }
+    }
+}
+
+/// Logs what has crossed so far, by class.
+fn told(crossing: Option<&Crossing>, log: &Log) {
+    let Some(crossing) = crossing else { return };
+    let totals = crossing.counts.totals();
+    for row in totals.rows.iter().filter(|row| row.crosses()) {
+        let (all, _) = totals.share(Some(&row.class));
+        let (crossed, bent) = (row.attempts(), row.bent.sum());
+        let (out, back) = (row.bytes_out, row.bytes_in);
+        log.line(format!(
+            "crossing: {} to {}: {crossed} of {all} attempts, {bent} without a budget, {out} bytes out, {back} in",
+            row.class, row.to
+        ));
+    }
+}
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use sagemast_decide::settings::Config as SettingsObject;
+use sagemast_pools::counts::Names;
+use sagemast_pools::crossing;
 use sagemast_sidecar::config::Limits;
 
 use crate::ledger::Demand;
@@ -67,6 +69,17 @@
     pub memory_mb: usize,
     /// Classes, tenants, allowances and rules, in the platform's form.
     pub settings: Arc<SettingsObject>,
+    /// Budgets for traffic between zones.
+    pub crossing: Option<Arc<CrossingSpec>>,
+}
+
+/// Budgets for traffic between zones, with the names that crossings are counted under.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CrossingSpec {
+    /// What holds.
+    pub rules: crossing::Rules,
+    /// The names; they follow from the settings.
+    pub names: Names,
 }
 
 impl InstanceSpec {
--- a/crates/daemon/src/fleet_file.rs
+++ b/crates/daemon/src/fleet_file.rs
@@ -11,13 +11,14 @@
 use std::time::Duration;
 
 use sagemast_decide::settings::Config as SettingsObject;
+use sagemast_pools::file::File as PoolsFile;
 use sagemast_sidecar::config::seed_of;
 use serde::Deserialize;
 use serde::de::IntoDeserializer;
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-use crate::config::{Fleet, InstanceSpec, LEAST_SOCKETS, Process};
+use crate::config::{CrossingSpec, Fleet, InstanceSpec, LEAST_SOCKETS, Process};
 use crate::control;
 use crate::ledger::Demand;
 use crate::plan::{Name, Rules};
@@ -261,7 +262,7 @@
     reader.read.extend(INSTANCE_KEYS);
     reader.finish();
     let mut instances = BTreeMap::new();
-    let mut found = Instances { instances: &mut instances, places: BTreeMap::new() };
+    let mut found = Instances { instances: &mut instances, places: BTreeMap::new(), pools: BTreeMap::new() };
     match top.find("instance").map(|(value, span)| (value.get_ref(), span)) {
         None => {}
         Some((DeValue::Array(array), _)) => {
@@ -399,13 +400,15 @@
 }
 
 /// The keys of an instance, also in the template.
-const INSTANCE_KEYS: [&str; 7] =
-    ["listen", "discovery", "seed", "sockets", "memory_mb", "settings", "settings_file"];
+const INSTANCE_KEYS: [&str; 8] =
+    ["listen", "discovery", "seed", "sockets", "memory_mb", "settings", "settings_file", "pools"];
 
 /// The instances found so far.
 struct Instances<'m> {
     instances: &'m mut BTreeMap<Name, InstanceSpec>,
     places: BTreeMap<SocketAddr, Name>,
+    /// The files of limits that instances name; `None` is one with faults.
+    pools: BTreeMap<PathBuf, Option<PoolsFile>>,
 }
 
 impl Instances<'_> {
@@ -436,6 +439,7 @@
             .filter(|(_, missing)| *missing)
             .for_each(|(key, _)| reader.missing(key));
         let settings = settings(&mut reader);
+        let crossing = self.crossing(&mut reader, settings.as_deref());
         reader.finish();
         let fits = |c: char| c.is_ascii_alphanumeric() || "._-".contains(c);
         if name.is_empty() || name.len() > NAME_BYTES || !name.chars().all(fits) || name.starts_with('.') {
@@ -457,9 +461,47 @@
             }
         }
         let (Some(listen), Some(discovery), Some(settings)) = (listen, discovery, settings) else { return };
-        let spec = InstanceSpec { name: name.clone(), listen, discovery, seed, sockets, memory_mb, settings };
+        let spec = InstanceSpec {
+            name: name.clone(),
+            listen,
+            discovery,
+            seed,
+            sockets,
+            memory_mb,
+            settings,
+            crossing,
+        };
         self.instances.insert(name, spec);
     }
+
+    /// The budgets for traffic between zones, from the file that an instance names, read once for all of them.
+    fn crossing(
+        &mut self,
+        reader: &mut Reader<'_, '_, '_>,
+        settings: Option<&SettingsObject>,
+    ) -> Option<Arc<CrossingSpec>> {
+        let (path, ..) = reader.path("pools")?;
+        let shown = path.display().to_string();
+        let told = |fault: sagemast_pools::file::Fault| {
+            let sagemast_pools::file::Fault { line, key, text } = fault;
+            Fault { file: shown.clone(), line, key, text }
+        };
+        if !self.pools.contains_key(&path) {
+            let read = read_text(&path, reader.faults).map(|text| PoolsFile::read(&text));
+            let file = read.and_then(|read| {
+                read.map_err(|faults| reader.faults.extend(faults.into_iter().map(told))).ok()
+            });
+            self.pools.insert(path.clone(), file);
+        }
+        let (file, settings) = (self.pools.get(&path)?.as_ref()?, settings?);
+        match file.rules(settings) {
+            Ok((rules, names)) => Some(Arc::new(CrossingSpec { rules, names })),
+            Err(faults) => {
+                reader.faults.extend(faults.into_iter().map(told));
+                None
+            }
+        }
+    }
 }
 
 /// The settings object: from a JSON file in the platform's form, or written out, where an instance's own keys
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -1,5 +1,6 @@
 //! What is said over the control socket: one JSON object a line, each with the version of the form.
 
+use sagemast_pools::counts::Totals;
 use serde::{Deserialize, Serialize};
 
 /// The version of the form.
@@ -32,6 +33,12 @@
     },
     /// The process.
     Status,
+    /// What crosses between zones, of one instance or of all.
+    Crossing {
+        /// Its name.
+        #[serde(default)]
+        name: Option<String>,
+    },
     /// Run one that was stopped, drained or left alone after failures.
     Start {
         /// Its name.
@@ -147,12 +154,36 @@
     Instances(Vec<Instance>),
     /// The process.
     Process(Box<ProcessStatus>),
+    /// What crosses between zones, by instance; those that count nothing are left out.
+    Crossing(Vec<CrossingReport>),
     /// What changes, or would.
     Changes(Changes),
     /// Nothing but that it was done, or begun.
     Done(String),
 }
 
+/// What crosses between zones, of one instance.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CrossingReport {
+    /// The instance.
+    pub name: String,
+    /// Over all its generations.
+    pub totals: Totals,
+    /// Its budgets.
+    pub budgets: Vec<BudgetLevel>,
+}
+
+/// A budget as it stood at the last attempt.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BudgetLevel {
+    /// In words.
+    pub budget: String,
+    /// What it held, crossings or bytes; below 0 what it owed.
+    pub level: f64,
+    /// What it can hold.
+    pub burst: f64,
+}
+
 /// What a new configuration changes.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes {
@@ -311,6 +342,7 @@
         let asks = [
             Ask::List,
             Ask::Show { name: "a".to_owned() },
+            Ask::Crossing { name: None },
             Ask::Apply { dry_run: true },
             Ask::Fault { fault: Fault::Stall { worker: 1, ms: 2_000 } },
             Ask::Upgrade { binary: "/bin/x".to_owned() },
--- a/crates/daemon/src/kept.rs
+++ b/crates/daemon/src/kept.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sagemast_pools::counts::Totals;
 use sagemast_sidecar::hosts::HostList;
 use sagemast_sidecar::log::Log;
 
@@ -81,12 +82,32 @@
         self.lists.insert(name, text);
     }
 
+    /// What an instance had counted of traffic between zones when it was kept last.
+    pub fn crossing(&self, name: &Name) -> Option<Totals> {
+        let (store, item) = (self.store.as_ref()?, Item::Crossing(name.clone()));
+        match serde_json::from_slice(&store.read(&item)?) {
+            Ok(totals) => Some(totals),
+            Err(error) => {
+                store.set_aside(&item, &error.to_string());
+                None
+            }
+        }
+    }
+
+    /// Takes in what it has counted.
+    pub fn keep_crossing(&self, name: &Name, totals: &Totals) {
+        if let Some(store) = &self.store {
+            store.write(Item::Crossing(name.clone()), serde_json::to_vec(totals).ok());
+        }
+    }
+
     /// Forgets an instance that is configured no more.
     pub fn forget(&mut self, name: &str) {
         self.lists.remove(name);
         self.stopped.remove(name);
         if let Some(store) = &self.store {
             store.write(Item::List(name.into()), None);
+            store.write(Item::Crossing(name.into()), None);
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod config;
 pub mod control;
+pub mod crossings;
 pub mod fleet_file;
 pub mod frames;
 pub mod grants;
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -56,6 +56,7 @@
                 Some(view) => Reply::ok(Answer::Instances(vec![self.instance(&view)])),
                 None => unknown(&name),
             },
+            Ask::Crossing { name } => self.crossing(name.as_deref()),
             Ask::Status => Reply::ok(Answer::Process(Box::new(self.status()))),
             Ask::Apply { dry_run: true } => self.apply(true).0,
             Ask::Fault { fault } => self.fail_on_purpose(&fault),
@@ -84,6 +85,16 @@
         let _ = reply.send(answer);
     }
 
+    /// What crosses between zones.
+    fn crossing(&self, name: Option<&str>) -> Reply {
+        if let Some(name) = name.filter(|name| self.plan.view(name).is_none()) {
+            return unknown(name);
+        }
+        let views = self.plan.views().filter(|view| name.is_none_or(|name| *view.name == *name));
+        let report = |view: View<InstanceSpec>| self.crossings.report(&view.name, view.spec.as_ref()?);
+        Reply::ok(Answer::Crossing(views.filter_map(report).collect()))
+    }
+
     /// Passes an operator's wish for one instance on, and keeps it if it is to last.
     fn tell(&mut self, name: &str, event: fn(Name) -> Event<InstanceSpec>, lasts: bool) -> Reply {
         let Some(view) = self.plan.view(name) else { return unknown(name) };
@@ -138,6 +149,7 @@
         self.listeners.forget_chosen(|name| kept.contains_key(name));
         // What nobody runs under any more is not kept.
         self.grants.forget(|name| kept.contains_key(name));
+        self.crossings.forget(|name| kept.contains_key(name));
     }
 
     fn fail_on_purpose(&mut self, fault: &Fault) -> Reply {
--- a/crates/daemon/src/store.rs
+++ b/crates/daemon/src/store.rs
@@ -28,6 +28,8 @@
 pub enum Item {
     /// The list of upstreams of an instance, as JSON in discovery's form.
     List(Arc<str>),
+    /// What an instance has counted of traffic between zones, as JSON.
+    Crossing(Arc<str>),
     /// The names of the instances that the operator has stopped, as JSON.
     Stopped,
 }
@@ -36,6 +38,7 @@
     fn kind(&self) -> &'static str {
         match self {
             Item::List(_) => "list",
+            Item::Crossing(_) => "crossing",
             Item::Stopped => "stopped",
         }
     }
@@ -43,6 +46,7 @@
     fn file_name(&self) -> String {
         match self {
             Item::List(name) => format!("list.{name}"),
+            Item::Crossing(name) => format!("crossing.{name}"),
             Item::Stopped => "stopped".to_owned(),
         }
     }
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -22,6 +22,7 @@
 
 use crate::config::{Fleet, InstanceSpec, Place, Process};
 use crate::control::{self, Asked};
+use crate::crossings::Crossings;
 use crate::fleet_file;
 use crate::grants::Grants;
 use crate::handover::{Estate, Predecessor, Successor, Word};
@@ -159,6 +160,7 @@
         succession,
         workers,
         grants: Grants::new(*connections_per_upstream),
+        crossings: Crossings::since(Instant::now()),
         lives: HashMap::new(),
         stand_ins: HashMap::new(),
         notes,
@@ -247,6 +249,7 @@
     pub lives: HashMap<Generation, Life>,
     stand_ins: HashMap<Name, (StandInControl, Place)>,
     pub grants: Grants,
+    pub crossings: Crossings,
     pub kept: Kept,
     pub succession: Succession,
     pub notes: mpsc::UnboundedSender<Note>,
@@ -323,6 +326,7 @@
                 () = sleep_until(wake.unwrap_or_else(Instant::now)), if wake.is_some() => self.feed(Event::Woke),
                 () = sleep_until(looked + WATCH) => {
                     looked = Instant::now();
+                    self.crossings.keep(&self.kept, false);
                     self.workers.watch().into_iter().for_each(|line| self.log.line(line));
                 }
             }
@@ -335,6 +339,7 @@
             // The last client may have asked for this very end.
             let _ = std::fs::remove_file(&self.fleet.process.control);
         }
+        self.crossings.keep(&self.kept, true);
         if !self.kept.flush() {
             self.log.line("state: not all was written before the end");
         }
@@ -446,6 +451,9 @@
                 if life.spec.discovery != spec.discovery {
                     life.control.move_discovery(spec.discovery);
                 }
+                if life.spec.crossing != spec.crossing {
+                    life.control.set_crossing(self.crossings.of(&life.name, &spec, &self.kept));
+                }
                 self.grants.resize(&life.name, &spec);
                 life.spec = spec;
                 Some(Event::Adjusted(generation, Ok(())))
@@ -507,6 +515,7 @@
             known,
             listener,
             budgets: self.grants.of(&name, &spec),
+            crossing: self.crossings.of(&name, &spec, &self.kept),
             log: log.clone(),
             listening: Outlet::to(move |told| notes.send(Note::Told(generation, told)).is_ok()),
             standby,
--- a/crates/decide/src/crossing.rs
+++ b/crates/decide/src/crossing.rs
@@ -5,6 +5,7 @@
 //! A plan narrows whom a request may go to. It never widens that, and never makes an attempt: what may be sent again,
 //! and to whom, is settled before it is asked.
 
+use std::any::Any;
 use std::fmt::Debug;
 
 use crate::api::*;
@@ -56,8 +57,8 @@
     pub bend: Option<Bend>,
 }
 
-/// A plan for traffic that leaves the sidecar's zone. It has no clock and does no I/O; times only move forward.
-pub trait CrossZone: Debug + Send {
+/// A plan for traffic that leaves the sidecar's zone. Its owner may find out which one it is. It has no clock and does no I/O; times only move forward.
+pub trait CrossZone: Any + Debug + Send {
     /// There are so many sidecars from now on, this one included.
     fn sidecars(&mut self, now: Millis, count: u32);
 
--- a/crates/pools/src/counts.rs
+++ b/crates/pools/src/counts.rs
@@ -1,12 +1,14 @@
 //! What crosses, counted: by class and zone, with every reason. Kept by one plan after another, read by anyone while
 //! they run.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 use sagemast_decide::api::{ClassId, ZoneId};
 use sagemast_decide::crossing::Bend;
 use serde::{Deserialize, Serialize};
 
+use crate::crossing::MOST_BUDGETS;
+
 /// Zones that the settings do not name are counted together under this name.
 pub const ELSEWHERE: &str = "elsewhere";
 
@@ -72,6 +74,9 @@
     attempts: Vec<[AtomicU64; KINDS]>,
     /// By zone.
     probes: Vec<AtomicU64>,
+    /// What each budget held and could hold at the last attempt: the bits of the numbers.
+    levels: [[AtomicU64; 2]; MOST_BUDGETS],
+    budgets: AtomicUsize,
 }
 
 impl Counts {
@@ -79,7 +84,8 @@
     pub fn new(names: Names) -> Counts {
         let zones = names.zones.len() + 1;
         let attempts = (0..names.classes.len() * zones).map(|_| Default::default()).collect();
-        Counts { names, attempts, probes: (0..zones).map(|_| AtomicU64::new(0)).collect() }
+        let probes = (0..zones).map(|_| AtomicU64::new(0)).collect();
+        Counts { names, attempts, probes, levels: Default::default(), budgets: AtomicUsize::new(0) }
     }
 
     /// What it tells apart.
@@ -104,6 +110,24 @@
         self.probes[self.zone(to)].fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Tells what the budgets hold and can hold.
+    pub fn set_levels(&self, levels: impl Iterator<Item = (f64, f64)>) {
+        let mut count = 0;
+        for (place, (level, burst)) in self.levels.iter().zip(levels) {
+            place[0].store(level.to_bits(), Ordering::Relaxed);
+            place[1].store(burst.to_bits(), Ordering::Relaxed);
+            count += 1;
+        }
+        self.budgets.store(count, Ordering::Release);
+    }
+
+    /// What the budgets held and could hold at the last attempt, in the order of the rules.
+    pub fn levels(&self) -> Vec<(f64, f64)> {
+        let number = |bits: &AtomicU64| f64::from_bits(bits.load(Ordering::Relaxed));
+        let count = self.budgets.load(Ordering::Acquire);
+        self.levels.iter().take(count).map(|[level, burst]| (number(level), number(burst))).collect()
+    }
+
     /// The counts as they stand, without rows of zeros.
     pub fn totals(&self) -> Totals {
         let name = |zone: usize| self.names.zones.get(zone).map_or(ELSEWHERE, String::as_str).to_owned();
--- a/crates/pools/src/crossing.rs
+++ b/crates/pools/src/crossing.rs
@@ -8,7 +8,7 @@
 use sagemast_decide::crossing::{Attempt, Bend, CrossZone, Terms};
 
 use crate::bucket::Bucket;
-use crate::counts::{Counts, Kind};
+use crate::counts::{Counts, Kind, Names};
 
 /// So many budgets at most: each is looked at for every attempt.
 pub const MOST_BUDGETS: usize = 32;
@@ -42,6 +42,27 @@
     pub burst: f64,
 }
 
+impl Budget {
+    /// In words, with the names that counts go by.
+    pub fn describe(&self, names: &Names) -> String {
+        let name = |names: &[String], at: usize| names.get(at).cloned().unwrap_or_else(|| at.to_string());
+        let mut text = match self.measure {
+            Measure::Share(share) => format!("{} % of attempts", share * 100.0),
+            Measure::PerSecond(rate) => format!("{rate} a second"),
+            Measure::BytesPerSecond(rate) => format!("{rate} bytes a second"),
+        };
+        if let Some(classes) = &self.classes {
+            let classes: Vec<_> = classes.iter().map(|class| name(&names.classes, class.0)).collect();
+            text += &format!(", {}", classes.join(" and "));
+        }
+        if let Some(zones) = &self.to {
+            let zones: Vec<_> = zones.iter().map(|zone| name(&names.zones, zone.0 as usize)).collect();
+            text += &format!(", to {}", zones.join(" and "));
+        }
+        text
+    }
+}
+
 /// What holds for crossings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Rules {
@@ -142,6 +163,11 @@
             self.purses.push(Purse { budget: budget.clone(), bucket, whole });
         }
         self.rules = rules;
+        self.tell_levels(now);
+    }
+
+    fn tell_levels(&self, now: Millis) {
+        self.counts.set_levels(self.levels(now));
     }
 
     /// The counts that it keeps.
@@ -214,6 +240,7 @@
         if let Some(bend) = bend {
             self.counts.add(class, to, Kind::Bent(bend), 1);
         }
+        self.tell_levels(now);
     }
 
     fn ended(
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::budget::{Budgets, Permit};
+use crate::crossing::Crossing;
 use crate::discovery::{AbortOnDrop, FromDiscovery, Watch};
 use crate::headers::end_to_end;
 use crate::hosts::HostList;
@@ -46,6 +47,8 @@
     Discovery(SocketAddr),
     /// There are so many sidecars from now on, this one included.
     Sidecars(u32),
+    /// Other budgets for traffic between zones are in force from now on, or none.
+    Crossing(Option<Crossing>),
     /// A successor needs the connections: keep none that is idle from now on.
     Retire,
     /// Hand over the list of upstreams as it stands.
@@ -90,6 +93,8 @@
     at: Instant,
     /// Dropped or used to give it up; `None` once that was done.
     give_up: Option<oneshot::Sender<()>>,
+    /// Bytes of its body.
+    body: usize,
 }
 
 /// A request without its final answer.
@@ -129,6 +134,8 @@
     pub discovery: SocketAddr,
     /// What it may hold.
     pub budgets: Budgets,
+    /// Budgets for traffic between zones, if there are any.
+    pub crossing: Option<Crossing>,
     /// What it counts.
     pub vitals: Arc<Vitals>,
     /// Where it logs.
@@ -143,6 +150,7 @@
     settings: SettingsObject,
     columns: Vec<Column>,
     subscribed: bool,
+    sidecars: u32,
     vitals: Arc<Vitals>,
     log: Log,
     budgets: Budgets,
@@ -174,16 +182,20 @@
 impl Driver {
     /// A driver that knows the settings and nothing else, and the channel that leads to it.
     pub fn new(parts: Parts) -> (Driver, mpsc::UnboundedSender<Happening>) {
-        let Parts { settings, seed, discovery, budgets, vitals, log, listener } = parts;
+        let Parts { settings, seed, discovery, budgets, crossing, vitals, log, listener } = parts;
         let (happenings, inbox) = mpsc::unbounded_channel();
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let mut told = settings.settings();
         // The module keeps one tick in hand before a key's window ends, since in the simulator a send is on
         // its way at once. Here it may first have to connect.
         told.limits.tick = told.limits.tick.max(settings.connect_timeout_ms());
+        let (subscribed, sidecars) = (matches!(told.discovery, Discovery::Subscribed { .. }), told.sidecars);
+        let mut module = Balancer::new(told, seed);
+        Crossing::bring_into_force(crossing, &mut module, sidecars, 0.0);
         let driver = Driver {
-            subscribed: matches!(told.discovery, Discovery::Subscribed { .. }),
-            module: Balancer::new(told, seed),
+            subscribed,
+            sidecars,
+            module,
             columns: settings.columns(),
             vitals,
             log,
@@ -317,7 +329,14 @@
                 self.discovery = address;
                 self.watch();
             }
-            Happening::Order(Order::Sidecars(count)) => self.event(Event::Sidecars(count)),
+            Happening::Order(Order::Sidecars(count)) => {
+                self.sidecars = count;
+                self.event(Event::Sidecars(count));
+            }
+            Happening::Order(Order::Crossing(crossing)) => {
+                let now = self.millis(Instant::now());
+                Crossing::bring_into_force(crossing, &mut self.module, self.sidecars, now);
+            }
             Happening::Order(Order::Retire) => {
                 self.retired = true;
                 self.servers.pools().for_each(Pool::clear);
@@ -433,6 +452,7 @@
         let Some(open) = self.open.get_mut(&request) else { return };
         let attempt = AttemptNo(open.sends);
         open.sends += 1;
+        let body = open.forward.body.len();
         let timeout = Duration::try_from_secs_f64(timeout / 1e3).unwrap_or_default();
         let until = match now.checked_add(timeout) {
             Some(until) if !timeout.is_zero() => until.min(open.deadline),
@@ -440,7 +460,7 @@
         };
         let life = self.servers.get(upstream).map_or(0, |server| server.life);
         let flight = Flight { request, attempt, upstream, life, until };
-        self.sent.insert((request, attempt), Sent { flight, at: now, give_up: None });
+        self.sent.insert((request, attempt), Sent { flight, at: now, give_up: None, body });
         self.start(flight);
     }
 
@@ -546,6 +566,11 @@
             let text = answer.headers.get("x-server-load").filter(|_| self.settings.reports_in_answers())?;
             report_from_text(&self.columns, text.to_str().ok()?)
         });
+        let now = self.millis(Instant::now());
+        if let Some(plan) = self.module.cross_zone() {
+            let got = answer.as_ref().map_or(0, |answer| answer.body.len());
+            plan.ended(now, flight.request, flight.attempt, outcome, [sent.body as u64, got as u64]);
+        }
         // The first answer goes to the client by itself and ends the request; so does one that finds fault
         // with the request itself, which other upstreams would find as well.
         let mut closed = !self.open.contains_key(&flight.request);
--- a/crates/sidecar/src/instance.rs
+++ b/crates/sidecar/src/instance.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::budget::Budgets;
+use crate::crossing::Crossing;
 use crate::driver::{self, Driver, Happening, Order, Told};
 use crate::front::{self, Front, Names, Phase};
 use crate::hosts::HostList;
@@ -39,6 +40,8 @@
     pub listener: Arc<TcpListener>,
     /// What it may hold.
     pub budgets: Budgets,
+    /// Budgets for traffic between zones, if there are any.
+    pub crossing: Option<Crossing>,
     /// Where it logs.
     pub log: Log,
     /// Whom it tells how it fares.
@@ -106,7 +109,8 @@
 impl Instance {
     /// An instance and the hold on it.
     pub fn new(parts: Parts) -> (Instance, Control) {
-        let Parts { settings, seed, discovery, known, listener, budgets, log, listening, standby } = parts;
+        let Parts { settings, seed, discovery, known, listener, budgets, crossing, log, listening, standby } =
+            parts;
         let vitals = Arc::new(Vitals::default());
         let names = Names { classes: settings.classes(), tenants: settings.tenant_names() };
         let longest = Duration::try_from_secs_f64(settings.longest_deadline_ms() / 1e3).unwrap_or_default();
@@ -116,6 +120,7 @@
             seed,
             discovery,
             budgets,
+            crossing,
             vitals: vitals.clone(),
             log: log.clone(),
             listener: listening.clone(),
@@ -232,6 +237,11 @@
         let _ = self.happenings.send(Happening::Order(Order::Sidecars(count)));
     }
 
+    /// Brings other budgets for traffic between zones into force, or none. What it counts in the same place goes on.
+    pub fn set_crossing(&self, crossing: Option<Crossing>) {
+        let _ = self.happenings.send(Happening::Order(Order::Crossing(crossing)));
+    }
+
     /// The list of upstreams as the instance has it. The receiver fails when the instance has ended.
     pub fn list(&self) -> oneshot::Receiver<HostList> {
         let (reply, list) = oneshot::channel();
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod config;
 pub mod counted;
+pub mod crossing;
 pub mod discovery;
 pub mod driver;
 pub mod front;
--- a/crates/stage/src/bin/sagemast-rig/main.rs
+++ b/crates/stage/src/bin/sagemast-rig/main.rs
@@ -1,6 +1,7 @@
 //! Scenarios on loopback that bring failures about and measure what they cost. Each prints a table, then one line of
 //! JSON with its figures, and the program ends with 1 if a bound does not hold.
 
+mod crossing;
 mod daemon_kill;
 mod daemon_restart;
 mod daemon_scale;
@@ -38,6 +39,8 @@
     DaemonKill,
     /// What a decision of the module costs with 10 to 10,000 upstreams, in churn and in failures.
     DecideScale,
+    /// Two buildings under budgets for what crosses between them, calm and with one that crawls.
+    Crossing,
     /// What a sidecar adds to a request, beside a bare pass-through to the same upstreams.
     OrdinaryPath,
 }
@@ -62,6 +65,7 @@
             Scenario::DaemonScale => daemon_scale::run(&program, cli.short).await,
             Scenario::DaemonKill => daemon_kill::run(&program, cli.short).await,
             Scenario::OrdinaryPath => ordinary_path::run(&program, cli.short).await,
+            Scenario::Crossing => crossing::run(&program, cli.short).await,
             Scenario::DecideScale => decide_scale::run(cli.short),
         }
     });
--- a/crates/stage/src/clients.rs
+++ b/crates/stage/src/clients.rs
@@ -21,6 +21,8 @@
 const LONGEST_US: u64 = 60_000_000;
 /// The body of a save: a page of a transcript.
 pub const DRAFT_BYTES: usize = 4 << 10;
+/// Within this time an answer is worth something, as `fleet::SETTINGS` has it.
+pub const AIM: Duration = Duration::from_millis(500);
 /// Connections that are kept while they are idle; the oldest go first.
 const KEPT: usize = 32;
 
@@ -38,6 +40,9 @@
 }
 
 impl Class {
+    /// All of them, in the order of their numbers.
+    pub const ALL: [Class; 4] = [Class::Fetch, Class::Save, Class::Errata, Class::Bill];
+
     /// Its name in paths and headers.
     pub fn name(self) -> &'static str {
         match self {
@@ -94,6 +99,8 @@
     pub once: HashSet<String>,
     /// Ids of those that were served.
     pub done: HashSet<String>,
+    /// In each of three phases, by class: asked for, and served within the aim.
+    pub service: [[[u64; 2]; 4]; 3],
     /// Time to a 200 answer in microseconds, in each of three phases.
     pub times: [Histogram<u64>; 3],
 }
@@ -113,6 +120,7 @@
             unanswered: Vec::new(),
             once: HashSet::new(),
             done: HashSet::new(),
+            service: Default::default(),
             times: [(); 3].map(|()| {
                 let times = Histogram::new_with_bounds(1, LONGEST_US, 3);
                 times.unwrap_or_else(|_| unreachable!("the bounds are sound"))
@@ -134,6 +142,14 @@
         self.times[phase].value_at_quantile(quantile) as f64 / 1e3
     }
 
+    /// The share of what was asked for in a phase that was served within its aim, of a class or of all.
+    pub fn service(&self, phase: usize, class: Option<Class>) -> f64 {
+        let classes = Class::ALL.into_iter().zip(self.service[phase]);
+        let these = classes.filter(|(one, _)| class.is_none_or(|class| class == *one));
+        let [asked, served] = these.fold([0, 0], |sum, (_, [a, s])| [sum[0] + a, sum[1] + s]);
+        served as f64 / asked as f64
+    }
+
     fn lose(&mut self, how: String) {
         self.lost += 1;
         if self.losses.len() < 20 {
@@ -162,12 +178,18 @@
     tally: Arc<Tally>,
     idle: Mutex<Vec<TcpStream>>,
     timeout: Duration,
+    mark: char,
 }
 
 impl Application {
     /// An application whose requests have so much time.
     pub fn new(address: SocketAddr, tally: Arc<Tally>, timeout: Duration) -> Arc<Application> {
-        Arc::new(Application { address, tally, idle: Mutex::default(), timeout })
+        Application::marked(address, tally, timeout, '0')
+    }
+
+    /// The same, whose ids begin with a hexadecimal digit of its own.
+    pub fn marked(address: SocketAddr, tally: Arc<Tally>, timeout: Duration, mark: char) -> Arc<Application> {
+        Arc::new(Application { address, tally, idle: Mutex::default(), timeout, mark })
     }
 
     fn idle(&self) -> MutexGuard<'_, Vec<TcpStream>> {
@@ -201,7 +223,8 @@
     /// One request, from its id to its entry in the tally. Gives the status of the answer, if one came.
     pub async fn ask(&self, class: Class, phase: usize) -> Option<u16> {
         let number = self.tally.next_id.fetch_add(1, Ordering::Relaxed);
-        let id = format!("{:08x}{number:08x}", std::process::id());
+        let id = format!("{}{:07x}{number:08x}", self.mark, std::process::id() & 0xfff_ffff);
+        self.tally.book().service[phase.min(2)][class as usize][0] += 1;
         if class == Class::Bill {
             self.tally.book().once.insert(id.clone());
         }
@@ -246,6 +269,8 @@
                             book.served += 1;
                             let micros = begun.elapsed().as_micros() as u64;
                             book.times[phase.min(2)].saturating_record(micros);
+                            let in_aim = u64::from(begun.elapsed() <= AIM);
+                            book.service[phase.min(2)][class as usize][1] += in_aim;
                             book.done.insert(id);
                         }
                         200 => book.wrong += 1,
--- a/crates/stage/src/discovery.rs
+++ b/crates/stage/src/discovery.rs
@@ -81,19 +81,28 @@
 
     /// Tells an entry from now on.
     pub fn put(&self, name: &str, upstream: &Upstream, health: Health) {
-        self.list(name, upstream.address, health, upstream.share(), upstream.born_ms);
+        let (dial, share, born_ms) = (upstream.address, upstream.share(), upstream.born_ms);
+        self.list(name, dial, health, share, born_ms, upstream.place());
     }
 
     /// The same for any address, of the usual size and long since warm.
     pub fn put_at(&self, name: &str, dial: std::net::SocketAddr, health: Health) {
-        self.list(name, dial, health, 1.0, 0.0);
+        self.list(name, dial, health, 1.0, 0.0, ("east", 1));
     }
 
-    fn list(&self, name: &str, dial: std::net::SocketAddr, health: Health, share: f64, born_ms: f64) {
+    fn list(
+        &self,
+        name: &str,
+        dial: std::net::SocketAddr,
+        health: Health,
+        share: f64,
+        born_ms: f64,
+        (site, block): (&str, u64),
+    ) {
         let mut list = self.state.list();
         list.seq += 1;
-        let (site, class) = ("east".to_owned(), "std".to_owned());
-        let host = Host { host: name.to_owned(), dial, site, class, block: 1, health, share, born_ms };
+        let (site, class) = (site.to_owned(), "std".to_owned());
+        let host = Host { host: name.to_owned(), dial, site, class, block, health, share, born_ms };
         let seq = list.seq;
         list.hosts.insert(name.to_owned(), (seq, host));
         drop(list);
--- a/crates/stage/src/effects.rs
+++ b/crates/stage/src/effects.rs
@@ -14,6 +14,8 @@
     by_key: HashMap<String, u32>,
     sends_after_drain: u64,
     worst_surge: f64,
+    /// By the first letter of the id and the building: attempts that came.
+    came: HashMap<(char, &'static str), u64>,
 }
 
 impl Effects {
@@ -26,6 +28,17 @@
         *self.book().by_id.entry(id.to_owned()).or_default() += 1;
     }
 
+    /// An attempt has come to an upstream in this building.
+    pub fn came(&self, id: &str, building: &'static str) {
+        let Some(mark) = id.chars().next() else { return };
+        *self.book().came.entry((mark, building)).or_default() += 1;
+    }
+
+    /// Attempts of clients with this mark that came to a building.
+    pub fn came_to(&self, mark: char, building: &'static str) -> u64 {
+        self.book().came.get(&(mark, building)).copied().unwrap_or(0)
+    }
+
     /// A keyed request has run, and was not dropped as a repeat.
     pub fn ran_key(&self, key: &str) {
         *self.book().by_key.entry(key.to_owned()).or_default() += 1;
--- a/crates/stage/src/upstream.rs
+++ b/crates/stage/src/upstream.rs
@@ -2,7 +2,6 @@
 //! anyone still waits, and remembers the keys of its cell.
 
 use std::collections::{HashMap, VecDeque};
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -42,6 +41,8 @@
     pub window: Duration,
     /// How long after it was said to drain something may still come.
     pub grace: Duration,
+    /// Its building, and the number of its cell.
+    pub place: (&'static str, u64),
 }
 
 /// The rule about servers that have just started.
@@ -66,6 +67,7 @@
             cold: None,
             window: Duration::from_secs(2),
             grace: Duration::from_secs(2),
+            place: ("east", 1),
         }
     }
 }
@@ -105,6 +107,9 @@
     probes: u64,
     connections: usize,
     most_connections: usize,
+    /// How many times slower it works than its nature; 0 for not.
+    slower: f64,
+    resets: bool,
 }
 
 impl Upstream {
@@ -147,6 +152,21 @@
         self.state.load().drained = Some(Instant::now());
     }
 
+    /// Its building, and the number of its cell.
+    pub fn place(&self) -> (&'static str, u64) {
+        self.state.nature.place
+    }
+
+    /// From now on work takes so many times as long.
+    pub fn slow_down(&self, times: f64) {
+        self.state.load().slower = times;
+    }
+
+    /// From now on it closes without an answer once a request has run, or no more.
+    pub fn reset_after_work(&self, resets: bool) {
+        self.state.load().resets = resets;
+    }
+
     /// Its size compared with others.
     pub fn share(&self) -> f64 {
         self.state.nature.share
@@ -244,7 +264,19 @@
     }
 }
 
-async fn answer(state: Arc<State>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+/// Closes the connection without an answer.
+#[derive(Debug)]
+struct Reset;
+
+impl std::fmt::Display for Reset {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("closed on purpose")
+    }
+}
+
+impl std::error::Error for Reset {}
+
+async fn answer(state: Arc<State>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Reset> {
     let plain = |status: StatusCode, text: String| {
         let mut response = Response::new(Full::new(Bytes::from(text)));
         *response.status_mut() = status;
@@ -268,6 +300,7 @@
         return plain(StatusCode::BAD_REQUEST, "not the body of this save".to_owned());
     }
     state.arrived();
+    state.effects.came(&id, state.nature.place.0);
     // A task of its own: what has begun is not stopped by a connection that closes.
     let answer = format!("ran {id}");
     let work = tokio::spawn(async move {
@@ -279,12 +312,15 @@
             state.effects.ran_key(&key);
         }
         let warmth = state.warmth(Instant::now());
-        sleep(Duration::from_secs_f64(state.nature.work_ms / warmth / 1e3)).await;
+        let slower = state.load().slower.max(1.0);
+        sleep(Duration::from_secs_f64(state.nature.work_ms * slower / warmth / 1e3)).await;
         drop(core);
         state.turn(-1, -1);
+        state.load().resets
     });
     match work.await {
-        Ok(()) => plain(StatusCode::OK, answer),
+        Ok(true) => Err(Reset),
+        Ok(false) => plain(StatusCode::OK, answer),
         Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed".to_owned()),
     }
 }
