--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -295,11 +295,16 @@
 
 /// Starts the program on a configuration, with its standard error piped.
 pub fn spawn(config: &str) -> Child {
-    spawn_with(config, None).0
+    spawn_with(config, None, &[]).0
+}
+
+/// The same with these variables in its environment.
+pub fn spawn_in(config: &str, variables: &[(&str, &PathBuf)]) -> Child {
+    spawn_with(config, None, variables).0
 }
 
 /// The same with a limit on its descriptors.
-fn spawn_with(config: &str, descriptors: Option<u32>) -> (Child, PathBuf) {
+fn spawn_with(config: &str, descriptors: Option<u32>, variables: &[(&str, &PathBuf)]) -> (Child, PathBuf) {
     let number = FILES.fetch_add(1, Ordering::SeqCst);
     let name = format!("sagemast-{}-{number}.json", std::process::id());
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -308,6 +313,7 @@
     let child = Command::new("sh")
         .args(["-c", &format!("{limit}exec \"$0\""), env!("CARGO_BIN_EXE_sagemast")])
         .env("ROUTER_CONFIG", &path)
+        .envs(variables.iter().copied())
         .stdin(Stdio::null())
         .stdout(Stdio::null())
         .stderr(Stdio::piped())
@@ -324,7 +330,15 @@
 
     /// The same with a limit on its descriptors.
     pub fn start_with(config: &str, descriptors: Option<u32>) -> Sidecar {
-        let (mut child, file) = spawn_with(config, descriptors);
+        Sidecar::started(spawn_with(config, descriptors, &[]))
+    }
+
+    /// The same with these variables in its environment.
+    pub fn start_in(config: &str, variables: &[(&str, &PathBuf)]) -> Sidecar {
+        Sidecar::started(spawn_with(config, None, variables))
+    }
+
+    fn started((mut child, file): (Child, PathBuf)) -> Sidecar {
         let mut errors = BufReader::new(child.stderr.take().unwrap());
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
--- a/crates/stage/src/bin/sagemast-rig/crossing.rs
+++ b/crates/stage/src/bin/sagemast-rig/crossing.rs
@@ -8,18 +8,14 @@
 
 use sagemast_daemon::frames::{Answer, Ask};
 use sagemast_pools::counts::Totals;
-use sagemast_sidecar::hosts::Health;
+use sagemast_stage::buildings::{BUILDINGS, Buildings};
 use sagemast_stage::clients::{Application, Book, Class, Tally};
-use sagemast_stage::discovery::Discovery;
-use sagemast_stage::effects::Effects;
-use sagemast_stage::fleet::FleetFile;
 use sagemast_stage::program::Daemon;
-use sagemast_stage::upstream::{Cell, Nature, Upstream};
+use sagemast_stage::upstream::Nature;
 use tokio::time::{Instant, sleep_until};
 
 use crate::report::Report;
 
-const BUILDINGS: [(&str, char); 2] = [("howard-ave", 'a'), ("pass-road", 'b')];
 const UPSTREAMS: usize = 5;
 /// Requests a second of the clients of one building: four in ten of what its upstreams can do.
 const RATE: f64 = 70.0;
@@ -71,33 +67,14 @@
     phases: [u64; 3],
 ) -> Result<Outcome, String> {
     let io = |error: std::io::Error| error.to_string();
-    let effects = Arc::new(Effects::default());
-    let discovery = Discovery::start().await.map_err(io)?;
-    let mut upstreams = Vec::new();
-    for (block, (building, _)) in BUILDINGS.into_iter().enumerate() {
-        let cell = Cell::default();
-        for number in 0..UPSTREAMS {
-            let nature =
-                Nature { cores: 2, work_ms: 57.0, place: (building, block as u64), ..Nature::default() };
-            let upstream = Upstream::start(nature, effects.clone(), cell.clone()).await.map_err(io)?;
-            discovery.put(&format!("{building}-{number}"), &upstream, Health::Ready);
-            upstreams.push(upstream);
-        }
-    }
     let folder = std::env::temp_dir().join(format!("sgm-rig-{}-{number}", std::process::id()));
-    std::fs::create_dir_all(&folder).map_err(io)?;
+    let nature = Nature { cores: 2, work_ms: 57.0, ..Nature::default() };
+    let stage = Buildings::start(&folder, [UPSTREAMS; 2], nature).await.map_err(io)?;
     let budget = share.map_or(String::new(), |share| format!("[[crossing.budget]]\nshare = {share}\n"));
     let bends = if bends { "" } else { "bends = []\n" };
-    std::fs::write(folder.join("pools.toml"), format!("[crossing]\n{bends}{budget}")).map_err(io)?;
-    let mut file = FleetFile::new(&folder, discovery.address);
-    file.sockets = 256;
-    file.settings = file.settings.replace(r#"azs = ["east"]"#, r#"azs = ["howard-ave", "pass-road"]"#);
-    for (zone, (building, _)) in BUILDINGS.into_iter().enumerate() {
-        let more = format!("pools = \"pools.toml\"\nsettings.zone = {zone}");
-        file.instances.push((building.to_owned(), ([127, 0, 0, 1], 0).into(), more));
-    }
+    stage.limit(&format!("[crossing]\n{bends}{budget}")).map_err(io)?;
     let daemon = tokio::task::block_in_place(|| {
-        let daemon = Daemon::start(program, &file)?;
+        let daemon = Daemon::start(program, &stage.file)?;
         daemon.settle()?;
         Ok::<_, String>(daemon)
     })?;
@@ -125,26 +102,21 @@
     };
     let calm_counts = counted()?;
     phase.store(1, Ordering::Relaxed);
-    upstreams.iter().filter(|u| u.place().0 == BUILDINGS[0].0).for_each(|u| u.slow_down(CRAWL));
+    stage.of(0).for_each(|upstream| upstream.slow_down(CRAWL));
     sleep_until(begun + calm + trouble).await;
     phase.store(2, Ordering::Relaxed);
-    upstreams.iter().for_each(|upstream| upstream.slow_down(1.0));
+    stage.of(0).for_each(|upstream| upstream.slow_down(1.0));
     while loads.join_next().await.is_some() {}
     let all = counted()?;
     drop(daemon);
     let _ = std::fs::remove_dir_all(&folder);
     let book = tally.book().clone();
-    let across =
-        BUILDINGS.iter().flat_map(|(_, mark)| BUILDINGS.map(|(building, home)| (*mark, building, home)));
-    let came = |cross: bool| {
-        let these = across.clone().filter(|(mark, _, home)| !cross || mark != home);
-        these.map(|(mark, building, _)| effects.came_to(mark, building)).sum()
-    };
+    let (came, came_across) = stage.came();
     Ok(Outcome {
-        doubled: effects.doubled(book.once.iter().map(String::as_str)) + effects.doubled_keys(),
-        undone: book.done.iter().filter(|id| effects.of(id) == 0).count(),
-        came_across: came(true),
-        came: came(false),
+        doubled: stage.effects.doubled(book.once.iter().map(String::as_str)) + stage.effects.doubled_keys(),
+        undone: book.done.iter().filter(|id| stage.effects.of(id) == 0).count(),
+        came_across,
+        came,
         book,
         calm: calm_counts,
         all,
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -2,6 +2,7 @@
 //! discovery, clients that know what was lost, and the program itself as a process. The scenarios are in
 //! `sagemast-rig`, which is never shipped.
 
+pub mod buildings;
 pub mod clients;
 pub mod discovery;
 pub mod effects;
