--- a/crates/pools/tests/plan.rs
+++ b/crates/pools/tests/plan.rs
@@ -141,19 +141,20 @@
     }
 
     #[test]
-    fn the_fee_lies_between_its_ends_and_grows_as_the_budget_is_used_up(spend in 0..40_u32) {
-        let mut plan = plan(vec![budget(Measure::Share(1.0), 20.0)], 1);
-        (0..20).for_each(|number| plan.sent(0.0, attempt(number, HOME, None)));
+    fn the_fee_grows_from_end_to_end_as_the_budget_is_used_up(burst in 2.0..40.0_f64) {
+        let mut plan = plan(vec![budget(Measure::Share(0.5), burst)], 1);
+        (0..80).for_each(|number| plan.sent(0.0, attempt(number, HOME, None)));
         let mut before = plan.terms(0.0, ClassId(0)).fee;
         prop_assert!((before - 0.03).abs() < 1e-9, "full: {before}");
-        for number in 0..spend {
-            // One is earned by each attempt; two are spent.
-            plan.sent(0.0, attempt(100 + u64::from(number), FAR, None));
-            plan.sent(0.0, Attempt { class: ClassId(9), ..attempt(200 + u64::from(number), FAR, None) });
+        // Half of one is earned by each.
+        for number in 0..2 * burst as u64 {
+            plan.sent(0.0, attempt(100 + number, FAR, None));
             let fee = plan.terms(0.0, ClassId(0)).fee;
-            prop_assert!((0.03 - 1e-9..=0.2 + 1e-9).contains(&fee) && fee + 1e-9 >= before.min(0.2), "{fee}");
+            prop_assert!(fee > before, "{fee} after {before}");
             before = fee;
         }
+        (0..80).for_each(|number| plan.sent(0.0, attempt(1_000 + number, FAR, Some(Bend::Full))));
+        prop_assert!((plan.terms(0.0, ClassId(0)).fee - 0.2).abs() < 1e-9);
     }
 
     #[test]
@@ -199,6 +200,19 @@
     assert!(!plan.pays(100.0, ClassId(0), None), "this one is new");
 }
 
+#[test]
+fn what_never_left_is_given_back() {
+    let mut plan = plan(vec![budget(Measure::Share(0.1), 1.0)], 1);
+    (0..10).for_each(|number| plan.sent(0.0, attempt(number, HOME, None)));
+    for outcome in [Outcome::Unreachable, Outcome::NotSent, Outcome::Reset] {
+        assert!(plan.pays(0.0, ClassId(0), Some(FAR)), "{outcome:?}");
+        plan.sent(0.0, attempt(99, FAR, None));
+        assert!(!plan.pays(0.0, ClassId(0), Some(FAR)), "it is out");
+        plan.ended(0.0, RequestId(99), AttemptNo(0), outcome, [10, 10]);
+    }
+    assert!(!plan.pays(0.0, ClassId(0), Some(FAR)), "a reset may have run");
+}
+
 #[test]
 fn a_budget_for_one_direction_closes_only_that() {
     let mut to = budget(Measure::Share(0.0), 1.0);
