--- a/crates/decide/tests/crossing.rs
+++ b/crates/decide/tests/crossing.rs
@@ -153,9 +153,9 @@
         }
         [0, 1, 10, 11].into_iter().for_each(|id| stage.report(id, 2.0, 0.2));
     }
-    plan(&mut stage).sent.clear();
-    let (_, far, _) = place(&mut stage, REPEATABLE, 20);
-    assert_eq!(far, 0);
+    let sent = &plan(&mut stage).sent;
+    assert!(sent.len() > 350, "{}", sent.len());
+    assert_eq!(sent.iter().skip(200).filter(|attempt| attempt.bend.is_some()).count(), 0);
 }
 
 #[test]
