An empty server is always tried: no lock-out after a crawl in which nearly all was refused

Cause: a server counts as idle while in flight + 1 is at most half its capacity or 2.5 - 2 x refused. With nearly all refused that is 0.5, which an empty server of less than two cores' capacity (1 at best) never meets; its expected time, learnt in the crawl, is beyond all room; nothing is sent, so nothing corrects it. The bound is now 1 at least, as the comment beside it always said.

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -375,7 +375,7 @@
             depth,
             // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
             idle: self.says_idle(upstream)
-                || in_flight + 1.0 <= (IDLE * kappa).max(2.5 - IDLE_CROWDED * self.seen.refused),
+                || in_flight + 1.0 <= (IDLE * kappa).max((2.5 - IDLE_CROWDED * self.seen.refused).max(1.0)),
             wait: view.service * slowness * depth,
             failing: upstream.failure_rate,
             warmth,
--- a/crates/decide/tests/health.rs
+++ b/crates/decide/tests/health.rs
@@ -394,3 +394,31 @@
     let (usual, jammed) = (accepted_after(Outcome::Ok), accepted_after(Outcome::Full));
     assert!(usual >= 15 && jammed * 2 < usual, "{jammed} after full, {usual} after served");
 }
+
+#[test]
+fn an_empty_server_is_tried_however_slow_all_were_and_however_many_were_refused() {
+    let mut stage = Stage::new(settings(), vec![listing(0), listing(1)]);
+    // One core each, as far as reports tell, and answers that take ten times as long as they are worth waiting for.
+    stage.settle(&[0, 1], 1.0, 0.85);
+    for _ in 0..200 {
+        stage.now += 400.0;
+        [0, 1].into_iter().for_each(|id| stage.report(id, 0.0, 0.0));
+        let (request, actions) = stage.arrive(REPEATABLE);
+        if let Some(to) = sent_to(&actions) {
+            stage.now += 400.0;
+            stage.finish(request, 0, to, Outcome::Ok, 400.0);
+        }
+    }
+    for _ in 0..400 {
+        stage.now += 5.0;
+        [0, 1].into_iter().for_each(|id| stage.report(id, 50.0, 1.0));
+        let (request, actions) = stage.arrive(REPEATABLE);
+        if let Some(to) = sent_to(&actions) {
+            stage.finish(request, 0, to, Outcome::Ok, 400.0);
+        }
+    }
+    stage.now += 50.0;
+    [0, 1].into_iter().for_each(|id| stage.report(id, 0.0, 0.0));
+    let (_, actions) = stage.arrive(REPEATABLE);
+    assert!(sent_to(&actions).is_some(), "nothing else could tell that it is quick again: {actions:?}");
+}
--- a/crates/pools/tests/two_buildings.rs
+++ b/crates/pools/tests/two_buildings.rs
@@ -145,3 +145,16 @@
     assert_eq!(paid("page-fetch"), 0, "its budget is 0");
     assert!(paid("draft-save") > 0 && paid("copy-bill") > 0, "theirs is large, and there is none: {day:?}");
 }
+
+#[test]
+fn service_comes_back_when_a_crawl_is_over_also_where_nothing_may_cross() {
+    // Once nearly all was refused nothing went anywhere, and so nothing told that servers were quick again.
+    let hard = Rules { bends: Vec::new(), ..rules(0.0) };
+    for (servers, rules) in [([5, 5], Some(hard)), ([5, 0], None)] {
+        let usual = World::usual(rules, Trouble::Crawl(0, 6.0));
+        let day = World { servers, rate: 35.0, until: 50_000.0, end: 80_000.0, ..usual }.play();
+        let [asked, served] =
+            day.by_second[60..80].iter().fold([0, 0], |sum, [a, s]| [sum[0] + a, sum[1] + s]);
+        assert!(served * 100 > asked * 95, "{servers:?}: {:?}", day.by_second);
+    }
+}
--- a/crates/pools/tests/world/mod.rs
+++ b/crates/pools/tests/world/mod.rs
@@ -59,6 +59,8 @@
     /// The same while the trouble lasted.
     pub asked_then: [u64; 2],
     pub in_aim_then: [u64; 2],
+    /// Asked and served in aim in the first building, by the second in which they were asked.
+    pub by_second: Vec<[u64; 2]>,
     pub refused: u64,
     pub failed: u64,
     /// Bills that ran more than once.
@@ -234,6 +236,14 @@
         self.heap.push(Reverse((at, self.order, what)));
     }
 
+    fn second(&mut self, at: f64) -> &mut [u64; 2] {
+        let second = (at / 1e3) as usize;
+        if self.day.by_second.len() <= second {
+            self.day.by_second.resize(second + 1, [0; 2]);
+        }
+        &mut self.day.by_second[second]
+    }
+
     fn troubled(&self) -> bool {
         (self.world.from..self.world.until).contains(&self.now)
     }
@@ -319,6 +329,9 @@
         self.next += 1;
         let building = sidecar / self.world.sidecars;
         self.day.asked[building][class] += 1;
+        if building == 0 {
+            self.second(self.now)[0] += 1;
+        }
         self.day.asked_then[building] += u64::from(self.troubled());
         self.day.unanswered += 1;
         self.asked.insert(self.next, Asked { class, at: self.now, sends: 0, ran: 0 });
@@ -431,14 +444,17 @@
         let Some(attempt) = self.attempts.remove(&number) else { return };
         let Attempt { request, number, server, sent, outcome, .. } = attempt;
         let asked = &self.asked[&request];
-        let (class, latency, aim) = (asked.class, self.now - sent, CLASSES[asked.class].3);
+        let (class, at, latency, aim) = (asked.class, asked.at, self.now - sent, CLASSES[asked.class].3);
         if outcome == Outcome::Ok {
             let building = sidecar / self.world.sidecars;
             self.day.unanswered -= 1;
-            if self.now - asked.at <= aim {
+            if self.now - at <= aim {
                 self.day.in_aim[building][class] += 1;
+                if building == 0 {
+                    self.second(at)[1] += 1;
+                }
                 self.day.in_aim_then[building] +=
-                    u64::from((self.world.from..self.world.until).contains(&asked.at));
+                    u64::from((self.world.from..self.world.until).contains(&at));
             }
         }
         let (id, attempt) = (RequestId(request), AttemptNo(number));
