--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -5,7 +5,8 @@
 use rustc_hash::FxHashMap;
 use sagemast_decide::api::*;
 
-use crate::day::{Cold, Day, FaultKind, KEY_WINDOW_MS, Spread};
+use crate::clients::{Source, rush};
+use crate::day::{Cold, Day, FaultKind, KEY_WINDOW_MS};
 use crate::engine::{Engine, Nanos, millis, nanos};
 use crate::judge::{Fact, Figures, Judge};
 use crate::outcome::{Outcome as Result, Tally};
@@ -143,17 +144,15 @@
     day: &'d Day,
     seed: u64,
     engine: Engine<Happens>,
-    sidecars: Vec<(Box<dyn Policy>, Rand64)>,
+    sidecars: Vec<(Box<dyn Policy>, Source)>,
     machines: Vec<Machine>,
     works: Vec<f64>,
-    shares: f64,
     jobs: FxHashMap<u64, Job>,
     requests: FxHashMap<u64, Request>,
     attempts: FxHashMap<u64, Attempt>,
     next: u64,
     bursting: bool,
     burst_rng: Rand64,
-    rush: f64,
     active: Vec<bool>,
     struck: Vec<Vec<usize>>,
     hears_idle: bool,
@@ -182,27 +181,16 @@
 
 impl<'d> World<'d> {
     fn new(day: &'d Day, make: Make<'_>, seed: u64, trace: bool) -> Option<World<'d>> {
-        let mut machines = Vec::new();
-        for kind in &day.servers {
-            for _ in 0..kind.count {
-                let number = machines.len();
-                let mut rng = stream(seed, Actor::Server(number as u64));
-                let [least, most] = kind.speed;
-                let shape = Shape {
-                    cores: kind.cores,
-                    speed: least + (most - least) * rng.rand_float(),
-                    bound: kind.bound_per_core * kind.cores,
-                    discipline: kind.discipline,
-                };
-                machines.push(World::machine(shape, number % day.network.zones, rng));
-            }
-        }
+        let zones = day.network.zones;
+        let machines = shapes(day, seed).into_iter().enumerate();
+        let machines: Vec<Machine> =
+            machines.map(|(at, (shape, rng))| World::machine(shape, at % zones, rng)).collect();
         let sidecars = (0..day.clients.sidecars).map(|number| {
             let settings = settings(day, number % day.network.zones);
             let seed_of = stream(seed, Actor::Policy(number as u64)).rand_u64();
-            Some((make(&settings, seed_of)?, stream(seed, Actor::Clients(number as u64))))
+            Some((make(&settings, seed_of)?, Source::new(seed, number)))
         });
-        let sidecars: Vec<(Box<dyn Policy>, Rand64)> = sidecars.collect::<Option<_>>()?;
+        let sidecars: Vec<(Box<dyn Policy>, Source)> = sidecars.collect::<Option<_>>()?;
         let Cold { share, warm_up_ms, multiple, window_ms } = day.cold;
         let figures = Figures {
             grace: nanos(GRACE_MS),
@@ -219,14 +207,12 @@
             sidecars,
             machines,
             works: day.class.iter().map(|class| class.work_ms).collect(),
-            shares: day.class.iter().map(|class| class.share).sum(),
             jobs: FxHashMap::default(),
             requests: FxHashMap::default(),
             attempts: FxHashMap::default(),
             next: 0,
             bursting: false,
             burst_rng: stream(seed, Actor::Clients(u64::MAX >> 8)),
-            rush: 1.0,
             active: vec![false; day.fault.len()],
             struck: vec![Vec::new(); day.fault.len()],
             judge: Judge::new(figures),
@@ -270,8 +256,9 @@
 
     fn gap(&mut self, sidecar: usize) -> Nanos {
         let burst = self.day.clients.burst.filter(|_| self.bursting).map_or(1.0, |burst| burst.times);
-        let rate = self.day.clients.rate * burst * self.rush / self.sidecars.len() as f64;
-        nanos(self.sidecars[sidecar].1.exponential(1e3 / rate))
+        let rush = rush(self.day, self.engine.now());
+        let rate = self.day.clients.rate * burst * rush / self.sidecars.len() as f64;
+        self.sidecars[sidecar].1.gap(rate)
     }
 
     fn listing(&self, server: usize) -> Listing {
@@ -354,14 +341,7 @@
         if now >= nanos(self.day.length_s * 1e3) {
             return;
         }
-        let rng = &mut self.sidecars[sidecar].1;
-        let mut drawn = rng.rand_float() * self.shares;
-        let class = self.day.class.iter().position(|class| {
-            drawn -= class.share;
-            drawn <= 0.0
-        });
-        let class = class.unwrap_or(0);
-        let work = draw(self.day.class[class].spread, self.day.class[class].work_ms, rng);
+        let (class, work) = self.sidecars[sidecar].1.draw(self.day);
         let gap = self.gap(sidecar);
         self.engine.after(gap, Happens::Arrival(sidecar));
         self.next += 1;
@@ -662,25 +642,13 @@
     fn fault(&mut self, number: usize, begins: bool) {
         let fault = &self.day.fault[number];
         self.active[number] = begins;
-        if let FaultKind::Rush(times) = fault.kind {
-            self.rush = if begins { self.rush * times } else { self.rush / times };
+        if matches!(fault.kind, FaultKind::Rush(_)) {
             return;
         }
         if begins {
             let zone = |server: &usize| fault.zone.is_none_or(|zone| self.machines[*server].zone == zone);
-            let mut those: Vec<usize> = (0..self.machines.len())
-                .filter(|server| self.machines[*server].serving)
-                .filter(zone)
-                .collect();
-            let count = (those.len() as f64 * fault.part).round() as usize;
-            // The same servers whatever the policy: of the stream of faults, by the fault's number.
-            let mut rng = stream(self.seed ^ (number as u64) << 40, Actor::Faults);
-            for at in 0..count.min(those.len()) {
-                let other = at + rng.index(those.len() - at);
-                those.swap(at, other);
-            }
-            those.truncate(count);
-            those.sort_unstable();
+            let serving = (0..self.machines.len()).filter(|server| self.machines[*server].serving);
+            let those = struck(fault.part, serving.filter(zone).collect(), self.seed, number);
             self.struck[number] = those;
         }
         for server in self.struck[number].clone() {
@@ -739,23 +707,34 @@
     }
 }
 
-fn draw(spread: Spread, mean: f64, rng: &mut Rand64) -> f64 {
-    match spread {
-        Spread::Exponential => rng.exponential(mean),
-        Spread::Constant => mean,
-        Spread::LogNormal(cv) => {
-            let variance = (1.0 + cv * cv).ln();
-            mean * (variance.sqrt() * rng.normal() - variance / 2.0).exp()
-        }
-        Spread::Pareto(shape) => {
-            let least = mean * (shape - 1.0) / shape;
-            least * (1.0 - rng.rand_float()).powf(-1.0 / shape)
-        }
-        Spread::Bimodal(share, times) => {
-            let usual = mean / (1.0 - share + share * times);
-            if rng.rand_float() < share { usual * times } else { usual }
-        }
-    }
+/// What the servers of a day are like, each with its stream, which has drawn its speed.
+pub fn shapes(day: &Day, seed: u64) -> Vec<(Shape, Rand64)> {
+    let kinds = day.servers.iter().flat_map(|kind| std::iter::repeat_n(kind, kind.count));
+    let shape = |(number, kind): (usize, &crate::day::Servers)| {
+        let mut rng = stream(seed, Actor::Server(number as u64));
+        let [least, most] = kind.speed;
+        let shape = Shape {
+            cores: kind.cores,
+            speed: least + (most - least) * rng.rand_float(),
+            bound: kind.bound_per_core * kind.cores,
+            discipline: kind.discipline,
+        };
+        (shape, rng)
+    };
+    kinds.enumerate().map(shape).collect()
+}
+
+/// Whom of these the fault of this number strikes, in order: the same whatever the policy.
+pub fn struck(part: f64, mut those: Vec<usize>, seed: u64, number: usize) -> Vec<usize> {
+    let count = (those.len() as f64 * part).round() as usize;
+    let mut rng = stream(seed ^ (number as u64) << 40, Actor::Faults);
+    for at in 0..count.min(those.len()) {
+        let other = at + rng.index(those.len() - at);
+        those.swap(at, other);
+    }
+    those.truncate(count);
+    those.sort_unstable();
+    those
 }
 
 /// The settings of a sidecar in a zone.
--- a/crates/stage/src/bin/sagemast-rig/main.rs
+++ b/crates/stage/src/bin/sagemast-rig/main.rs
@@ -7,6 +7,7 @@
 mod daemon_scale;
 mod decide_scale;
 mod ordinary_path;
+mod reality;
 mod report;
 
 use std::path::PathBuf;
@@ -41,6 +42,12 @@
     DecideScale,
     /// Two buildings under budgets for what crosses between them, calm and with one that crawls.
     Crossing,
+    /// The days of an experiment against a daemon and stand-ins, beside the model's word on them.
+    Reality {
+        /// The experiment.
+        #[arg(long, value_name = "FILE", default_value = "experiments/reality.toml")]
+        days: PathBuf,
+    },
     /// What a sidecar adds to a request, beside a bare pass-through to the same upstreams.
     OrdinaryPath,
 }
@@ -66,6 +73,7 @@
             Scenario::DaemonKill => daemon_kill::run(&program, cli.short).await,
             Scenario::OrdinaryPath => ordinary_path::run(&program, cli.short).await,
             Scenario::Crossing => crossing::run(&program, cli.short).await,
+            Scenario::Reality { days } => reality::run(&program, &days, cli.short).await,
             Scenario::DecideScale => decide_scale::run(cli.short),
         }
     });
--- a/crates/stage/src/clients.rs
+++ b/crates/stage/src/clients.rs
@@ -222,6 +222,11 @@
 
     /// One request, from its id to its entry in the tally. Gives the status of the answer, if one came.
     pub async fn ask(&self, class: Class, phase: usize) -> Option<u16> {
+        self.ask_for(class, phase, None).await
+    }
+
+    /// The same, which tells the work that it is, in microseconds.
+    pub async fn ask_for(&self, class: Class, phase: usize, cost_us: Option<u64>) -> Option<u16> {
         let number = self.tally.next_id.fetch_add(1, Ordering::Relaxed);
         let id = format!("{}{:07x}{number:08x}", self.mark, std::process::id() & 0xfff_ffff);
         self.tally.book().service[phase.min(2)][class as usize][0] += 1;
@@ -240,7 +245,7 @@
             };
             let left = until.saturating_duration_since(Instant::now()).as_millis().max(1);
             let mut stream = stream;
-            let went = exchange(&mut stream, &request(class, &id, left as u64), until + SLACK).await;
+            let went = exchange(&mut stream, &costed(class, &id, left as u64, cost_us), until + SLACK).await;
             let mut book = self.tally.book();
             match went {
                 // Nothing was taken: the same request goes over another connection.
@@ -325,6 +330,11 @@
 
 /// A request as the platform's application writes it.
 pub fn request(class: Class, id: &str, left_ms: u64) -> Vec<u8> {
+    costed(class, id, left_ms, None)
+}
+
+fn costed(class: Class, id: &str, left_ms: u64, cost_us: Option<u64>) -> Vec<u8> {
+    let cost = cost_us.map_or(String::new(), |cost| format!("X-Cost: {cost}\r\n"));
     let name = class.name();
     let (method, key, body) = match class {
         Class::Fetch => ("GET", String::new(), String::new()),
@@ -336,7 +346,7 @@
     let length = if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
     format!(
         "{method} /{name}?k=7f3a9c21 HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {id}\r\n\
-         X-Priority-Class: {name}\r\nX-Timeout-Ms: {left_ms}\r\n{key}{length}\r\n{body}"
+         X-Priority-Class: {name}\r\nX-Timeout-Ms: {left_ms}\r\n{cost}{key}{length}\r\n{body}"
     )
     .into_bytes()
 }
--- a/crates/stage/src/upstream.rs
+++ b/crates/stage/src/upstream.rs
@@ -35,6 +35,9 @@
     pub share: f64,
     /// Work of a request, in milliseconds of one core.
     pub work_ms: f64,
+    /// Where this is set a request's `X-Cost` tells its work, in microseconds of a core of speed 1, and this is the
+    /// speed of the cores.
+    pub speed: Option<f64>,
     /// How it starts.
     pub cold: Option<Cold>,
     /// For how long its cell drops repeats of a key.
@@ -64,6 +67,7 @@
             cores: 4,
             share: 1.0,
             work_ms: 5.0,
+            speed: None,
             cold: None,
             window: Duration::from_secs(2),
             grace: Duration::from_secs(2),
@@ -290,6 +294,8 @@
     let text =
         |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
     let (id, key) = (text("x-request-id"), text("idempotency-key"));
+    let cost = text("x-cost").and_then(|cost| cost.parse::<f64>().ok()).zip(state.nature.speed);
+    let work_ms = cost.map_or(state.nature.work_ms, |(cost, speed)| cost / 1e3 / speed);
     let Some(id) = id else { return plain(StatusCode::NOT_FOUND, "no id".to_owned()) };
     let put = request.method() == Method::PUT;
     let Ok(body) = request.into_body().collect().await else {
@@ -313,7 +319,7 @@
         }
         let warmth = state.warmth(Instant::now());
         let slower = state.load().slower.max(1.0);
-        sleep(Duration::from_secs_f64(state.nature.work_ms * slower / warmth / 1e3)).await;
+        sleep(Duration::try_from_secs_f64(work_ms * slower / warmth / 1e3).unwrap_or_default()).await;
         drop(core);
         state.turn(-1, -1);
         state.load().resets
