--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -202,7 +202,8 @@
         let class = &mut self.seen.service[held.class.0];
         class.refused += SMOOTH_ALL * (refused - class.refused);
         let by_use = chosen.map(|[a, b]| if b.projected < a.projected { [b, a] } else { [a, b] });
-        match by_use.into_iter().flatten().find(|c| self.admits(c, &held, again)) {
+        let taker = by_use.into_iter().flatten().find(|c| self.admits(c, &held, again));
+        match taker.or_else(|| chosen.and_then(|_| self.warm_one(&held))) {
             Some(chosen) => self.send(request, chosen, out),
             None => self.give_up(request, out),
         }
@@ -335,7 +336,7 @@
     }
 
     /// What all servers are looked at with.
-    fn view(&self, held: &Held) -> View {
+    pub(crate) fn view(&self, held: &Held) -> View {
         let aim_left = self.aim_left(held);
         let spare = aim_left > 2.0 * HOLD_FOR * self.settings.classes[held.class.0].aim;
         // With roughly exponential answer times one expected at `wait` misses its aim with probability
@@ -383,7 +384,7 @@
     }
 
     /// Where a further send may go, by what may have run already.
-    fn reach(&self, held: &Held) -> Option<Reach> {
+    pub(crate) fn reach(&self, held: &Held) -> Option<Reach> {
         let Some(first) = held.tries.iter().find(|t| t.out || t.may_have_run) else {
             return Some(Reach::All);
         };
--- a/crates/decide/src/crossing.rs
+++ b/crates/decide/src/crossing.rs
@@ -170,6 +170,20 @@
         across.map(|pair| pair.map(bent)).or(stay)
     }
 
+    /// The better of two warm servers with room, where a pair was cold and neither may be sent more: others may well
+    /// have room, near or, where a budget pays or bends, across.
+    pub(crate) fn warm_one(&mut self, held: &Held) -> Option<Candidate> {
+        let (reach, view) = (self.reach(held)?, self.view(held));
+        let (now, class, plan) = (self.now, held.class, self.cross.take());
+        let across = |to| plan.as_ref().is_none_or(|p| p.pays(now, class, Some(to)) || p.bends(Bend::Full));
+        let may = |c: &Candidate| c.warmth >= 1.0 && (c.near || across(c.zone));
+        let pair = self.anywhere(reach, held, &view, may);
+        self.cross = plan;
+        let [a, b] = pair?;
+        let best = if b.projected < a.projected { b } else { a };
+        Some(Candidate { bend: Some(Bend::Full).filter(|_| !best.near), ..best })
+    }
+
     /// Whether a server that was drawn before may still be sent this request.
     pub(crate) fn still_pays(&self, held: &Held, to: &Candidate) -> bool {
         let Some(plan) = self.cross.as_ref().filter(|_| !to.near) else { return true };
--- a/crates/model/src/day.rs
+++ b/crates/model/src/day.rs
@@ -29,6 +29,25 @@
     /// The rule about servers that have just started.
     #[serde(default)]
     pub cold: Cold,
+    /// Budgets for what crosses zones, for the project's module.
+    #[serde(default)]
+    pub crossing: Option<Crossing>,
+}
+
+/// A budget for what crosses zones.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Crossing {
+    /// The share of attempts that may; none is all, counted.
+    #[serde(default)]
+    pub share: Option<f64>,
+    /// Whether it bends.
+    #[serde(default = "yes")]
+    pub bends: bool,
+}
+
+fn yes() -> bool {
+    true
 }
 
 /// Who asks.
@@ -235,6 +254,8 @@
     Replace,
     /// So many times as many requests come.
     Rush(f64),
+    /// No connection between two zones comes up.
+    CutOff,
 }
 
 /// Servers that have just started.
@@ -329,6 +350,9 @@
         within("network.cross_ms", *cross_ms, 0.0, 1e5);
         within("network.news_ms", *news_ms, 0.0, 1e6);
         within("network.max_attempts", f64::from(*max_attempts), 1.0, 100.0);
+        if let Some(share) = self.crossing.and_then(|crossing| crossing.share) {
+            within("crossing.share", share, 0.0, 1.0);
+        }
         within("cold.share", self.cold.share, 0.001, 1.0);
         within("cold.warm_up_ms", self.cold.warm_up_ms, 1.0, 1e7);
         within("cold.multiple", self.cold.multiple, 1.0, 1e3);
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -1,6 +1,7 @@
 //! What came of a day: counts while it is played, and figures at its end.
 
 use hdrhistogram::Histogram;
+use sagemast_pools::counts::Totals;
 use serde::{Deserialize, Serialize};
 
 use crate::day::Day;
@@ -19,6 +20,11 @@
     pub by_class: Vec<f64>,
     /// The same by second from the start, of all first tries: asked, served in aim.
     pub by_second: Vec<[u64; 2]>,
+    /// The same by the zone of the sidecar.
+    pub by_zone: Vec<Vec<[u64; 2]>>,
+    /// What crossed zones, by the zone of the sidecar, where the day has a plan for that.
+    #[serde(default)]
+    pub crossings: Vec<Totals>,
     /// Tries that were refused, that failed, and that clients added.
     pub refused: u64,
     /// See `refused`.
@@ -62,7 +68,7 @@
     times: Histogram<u64>,
     took_ms: f64,
     classes: Vec<[u64; 2]>,
-    by_second: Vec<[u64; 2]>,
+    by_zone: Vec<Vec<[u64; 2]>>,
     useful: f64,
     works: Vec<f64>,
     refused: u64,
@@ -82,7 +88,7 @@
             times: times(),
             took_ms: 0.0,
             classes: vec![[0; 2]; day.class.len()],
-            by_second: vec![[0; 2]; day.length_s.ceil() as usize + 1],
+            by_zone: vec![vec![[0; 2]; day.length_s.ceil() as usize + 1]; day.network.zones],
             useful: 0.0,
             works: day.class.iter().map(|class| class.work_ms).collect(),
             refused: 0,
@@ -94,22 +100,30 @@
         }
     }
 
-    fn second(&mut self, at: Nanos) -> Option<&mut [u64; 2]> {
-        self.by_second.get_mut((at / nanos(1e3)) as usize)
+    fn second(&mut self, zone: usize, at: Nanos) -> Option<&mut [u64; 2]> {
+        self.by_zone.get_mut(zone)?.get_mut((at / nanos(1e3)) as usize)
     }
 
-    /// A first try has come.
-    pub fn asked(&mut self, class: usize, at: Nanos, counts: bool) {
+    /// A first try has come to a sidecar in this zone.
+    pub fn asked(&mut self, class: usize, zone: usize, at: Nanos, counts: bool) {
         self.classes[class][0] += u64::from(counts);
-        self.second(at).into_iter().for_each(|second| second[0] += 1);
+        self.second(zone, at).into_iter().for_each(|second| second[0] += 1);
     }
 
     /// It was served after so long, in aim or not.
-    pub fn served(&mut self, class: usize, took: Nanos, in_aim: bool, first_at: Nanos, counts: bool) {
+    pub fn served(
+        &mut self,
+        class: usize,
+        zone: usize,
+        took: Nanos,
+        in_aim: bool,
+        first_at: Nanos,
+        counts: bool,
+    ) {
         self.useful += self.works[class];
         if in_aim {
             self.classes[class][1] += u64::from(counts);
-            self.second(first_at).into_iter().for_each(|second| second[1] += 1);
+            self.second(zone, first_at).into_iter().for_each(|second| second[1] += 1);
         }
         if counts {
             self.times.saturating_record(took / 1_000);
@@ -161,7 +175,9 @@
                 .iter()
                 .map(|[asked, served]| share(*served as f64, *asked as f64))
                 .collect(),
-            by_second: self.by_second,
+            by_second: sum(&self.by_zone),
+            by_zone: self.by_zone,
+            crossings: Vec::new(),
             refused: self.refused,
             failed: self.failed,
             tried_again: self.again,
@@ -182,3 +198,29 @@
         }
     }
 }
+
+/// Over all zones.
+fn sum(by_zone: &[Vec<[u64; 2]>]) -> Vec<[u64; 2]> {
+    let length = by_zone.first().map_or(0, Vec::len);
+    let at = |second: usize, place: usize| by_zone.iter().map(|zone| zone[second][place]).sum();
+    (0..length).map(|second| [at(second, 0), at(second, 1)]).collect()
+}
+
+impl Outcome {
+    /// The share of the first tries from a zone in a span of seconds that was served in aim.
+    pub fn service(&self, zone: usize, seconds: std::ops::Range<usize>) -> f64 {
+        let counts = self.by_zone.get(zone).into_iter().flatten();
+        let within = counts.skip(seconds.start).take(seconds.len());
+        let [asked, served] = within.fold([0, 0], |sum, [asked, served]| [sum[0] + asked, sum[1] + served]);
+        served as f64 / asked.max(1) as f64
+    }
+
+    /// Shares of the attempts from a zone that crossed: for a budget, and by bends.
+    pub fn crossed(&self, zone: usize) -> (f64, f64) {
+        let Some(totals) = self.crossings.get(zone) else { return (0.0, 0.0) };
+        let (all, crossed) = totals.share(None);
+        let bent: u64 = totals.rows.iter().map(|row| row.bent.sum()).sum();
+        let share = |count: u64| count as f64 / all.max(1) as f64;
+        (share(crossed - bent), share(bent))
+    }
+}
--- a/crates/model/src/policy/mod.rs
+++ b/crates/model/src/policy/mod.rs
@@ -4,6 +4,8 @@
 use oorandom::Rand64;
 use rustc_hash::FxHashMap;
 use sagemast_decide::api::*;
+use sagemast_pools::counts::Totals;
+use sagemast_pools::crossing::Plan;
 
 mod ewma;
 mod idle_queue;
@@ -43,6 +45,11 @@
     fn hears_idle(&self) -> bool {
         false
     }
+
+    /// What it has counted of what crosses zones, and attempts that it holds to be out, if it is under a plan.
+    fn crossings(&mut self) -> Option<(Totals, usize)> {
+        None
+    }
 }
 
 /// Every policy by its name.
@@ -61,11 +68,16 @@
 
 /// A policy by its name, for a sidecar with these settings; `None` if there is none of this name.
 pub fn named(name: &str, settings: &Settings, seed: u64) -> Option<Box<dyn Policy>> {
+    under(name, settings, None, seed)
+}
+
+/// The same; the project's module under a plan for what crosses zones, if there is one.
+pub fn under(name: &str, settings: &Settings, plan: Option<Plan>, seed: u64) -> Option<Box<dyn Policy>> {
     fn simple<P: Pick + 'static>(pick: P, settings: &Settings, seed: u64) -> Option<Box<dyn Policy>> {
         Some(Box::new(Simple::new(pick, settings.clone(), seed)))
     }
     match name {
-        "sagemast" => Some(Box::new(module::Module::new(settings.clone(), seed))),
+        "sagemast" => Some(Box::new(module::Module::new(settings.clone(), plan, seed))),
         "random" => simple(random::Random, settings, seed),
         "round-robin" => simple(round_robin::RoundRobin::default(), settings, seed),
         "least-in-flight" => simple(least::Least, settings, seed),
--- a/crates/model/src/policy/module.rs
+++ b/crates/model/src/policy/module.rs
@@ -1,20 +1,36 @@
-//! The project's own decision module, as it is shipped.
+//! The project's own decision module, as it is shipped, with its plan for what crosses zones if there is one.
+
+use std::any::Any;
 
 use sagemast_decide::Balancer;
 use sagemast_decide::api::*;
+use sagemast_decide::crossing::CrossZone;
+use sagemast_pools::counts::Totals;
+use sagemast_pools::crossing::Plan;
 
 use super::{Policy, Truth};
 
 pub struct Module(Balancer);
 
 impl Module {
-    pub fn new(settings: Settings, seed: u64) -> Module {
-        Module(Balancer::new(settings, seed))
+    pub fn new(settings: Settings, plan: Option<Plan>, seed: u64) -> Module {
+        let mut module = Balancer::new(settings, seed);
+        module.set_cross_zone(plan.map(|plan| Box::new(plan) as Box<dyn CrossZone>));
+        Module(module)
     }
 }
 
 impl Policy for Module {
     fn handle(&mut self, now: Millis, event: Event, _: &dyn Truth, out: &mut Vec<Action>) {
+        if let (Event::Finished(end), Some(plan)) = (&event, self.0.cross_zone()) {
+            // The model has no bodies.
+            plan.ended(now, end.request, end.attempt, end.outcome, [0, 0]);
+        }
         self.0.handle(now, event, out);
     }
+
+    fn crossings(&mut self) -> Option<(Totals, usize)> {
+        let plan = (self.0.cross_zone()? as &mut dyn Any).downcast_mut::<Plan>()?;
+        Some((plan.counts().totals(), plan.out()))
+    }
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -1,16 +1,21 @@
 //! Plays a day: clients, sidecars with a policy each, servers, the network between them, and what goes wrong.
 
+use std::sync::Arc;
+
 use hdrhistogram::Histogram;
 use oorandom::Rand64;
 use rustc_hash::FxHashMap;
 use sagemast_decide::api::*;
+use sagemast_decide::crossing::Bend;
+use sagemast_pools::counts::{Counts, Names, Totals};
+use sagemast_pools::crossing::{Budget, Measure, Plan, Rules};
 
 use crate::clients::{Source, rush};
 use crate::day::{Cold, Day, FaultKind, KEY_WINDOW_MS};
 use crate::engine::{Engine, Nanos, millis, nanos};
 use crate::judge::{Fact, Figures, Judge};
 use crate::outcome::{Outcome as Result, Tally};
-use crate::policy::{Policy, Truth, Word, named};
+use crate::policy::{Policy, Truth, Word, under};
 use crate::server::{Server, Shape};
 use crate::streams::{Actor, Draw, stream};
 
@@ -22,6 +27,11 @@
 const IN_HAND_MS: f64 = 1.0;
 /// A probe is answered beside the queue, after the way there and back.
 const RESET_MS: f64 = 0.0;
+/// A connection that does not come up has failed after this.
+const CONNECT_MS: f64 = 20.0;
+/// What holds for crossings, as the page for operators has it: fees of full and empty budgets, and what is saved up.
+const CROSSING_FEES: [f64; 2] = [0.03, 0.2];
+const CROSSING_BURST: f64 = 10.0;
 
 #[derive(Debug, Clone, Copy)]
 enum Happens {
@@ -163,7 +173,23 @@
 
 /// Plays a day under a policy. `None` if no policy has this name. With `trace` each fact is kept as a line.
 pub fn play(day: &Day, policy: &str, seed: u64, trace: bool) -> Option<Result> {
-    play_with(day, &|settings, seed| named(policy, settings, seed), seed, trace)
+    play_with(day, &|settings, seed| under(policy, settings, plan(day, settings), seed), seed, trace)
+}
+
+/// The plan of a sidecar for what crosses zones, if the day has one.
+fn plan(day: &Day, settings: &Settings) -> Option<Plan> {
+    let crossing = day.crossing?;
+    let budget =
+        |share| Budget { classes: None, to: None, measure: Measure::Share(share), burst: CROSSING_BURST };
+    let bends = if crossing.bends { Bend::ALL.to_vec() } else { Vec::new() };
+    let budgets = crossing.share.map(budget).into_iter().collect();
+    let rules = Rules { fee: CROSSING_FEES[0], bend_at: CROSSING_FEES[1], bends, budgets };
+    let names = Names {
+        classes: day.class.iter().map(|class| class.name.clone()).collect(),
+        zones: (0..day.network.zones).map(|zone| zone.to_string()).collect(),
+        home: settings.zone.0 as usize,
+    };
+    Some(Plan::new(rules, Arc::new(Counts::new(names)), settings.sidecars, 0.0))
 }
 
 /// Makes the policy of a sidecar with these settings and this seed.
@@ -347,7 +373,8 @@
         self.next += 1;
         let counts = now >= nanos(self.day.warm_up_s * 1e3);
         self.jobs.insert(self.next, Job { class, work, first_at: now, tries: 0, sidecar, counts });
-        self.tally.asked(class, now, counts);
+        let zone = sidecar % self.day.network.zones;
+        self.tally.asked(class, zone, now, counts);
         self.ask(self.next);
     }
 
@@ -394,7 +421,8 @@
         match retry_after {
             None => {
                 let took = now - job.first_at;
-                self.tally.served(class, took, took <= nanos(kind.aim_ms), job.first_at, job.counts);
+                let (in_aim, zone) = (took <= nanos(kind.aim_ms), job.sidecar % self.day.network.zones);
+                self.tally.served(class, zone, took, in_aim, job.first_at, job.counts);
                 self.jobs.remove(&job_number);
             }
             Some(stay_away) => {
@@ -479,9 +507,14 @@
         self.tally.attempts += 1;
         let this = Attempt { request, number, sidecar, server, at: now, found: 0, told: false, there: true };
         self.attempts.insert(attempt, this);
+        self.engine.after(nanos(timeout), Happens::Timeout(attempt));
+        let across = sidecar % self.day.network.zones != self.machines[server].zone;
+        let cut = |number: usize| self.active[number] && self.day.fault[number].kind == FaultKind::CutOff;
+        if across && (0..self.active.len()).any(cut) {
+            return self.leaves(attempt, nanos(CONNECT_MS), Outcome::Unreachable);
+        }
         let way = self.way(sidecar, server);
         self.engine.after(way, Happens::Reaches(attempt));
-        self.engine.after(nanos(timeout), Happens::Timeout(attempt));
     }
 
     /// The sidecar of an attempt hears how it ended, unless it has.
@@ -659,7 +692,7 @@
                 (FaultKind::Hang, false) => self.machines[server].hangs -= 1,
                 (FaultKind::Replace, true) => self.leave(server),
                 (FaultKind::Replace, false) => self.replace(server),
-                (FaultKind::FastErrors | FaultKind::Resets | FaultKind::Rush(_), _) => {}
+                (FaultKind::FastErrors | FaultKind::Resets | FaultKind::Rush(_) | FaultKind::CutOff, _) => {}
             }
             self.pace(server);
         }
@@ -692,7 +725,15 @@
         self.spread_news(server);
     }
 
-    fn finish(self) -> Result {
+    fn finish(mut self) -> Result {
+        let zones = self.day.network.zones;
+        let mut crossings = vec![Totals::default(); if self.day.crossing.is_some() { zones } else { 0 }];
+        let mut plans_out = 0;
+        for (number, (policy, _)) in self.sidecars.iter_mut().enumerate() {
+            let Some((totals, out)) = policy.crossings() else { continue };
+            crossings[number % zones].add(&totals);
+            plans_out += out;
+        }
         let worked = self.machines.iter().map(|machine| machine.server.worked).sum();
         let evenness: Vec<f64> = self
             .machines
@@ -702,8 +743,17 @@
         // What a server that has fallen over holds stays there; nobody waits for it.
         let open = self.requests.values().filter(|request| request.open).count();
         let untold = self.attempts.values().filter(|attempt| !attempt.told).count();
-        let left = open + untold + self.jobs.len();
-        self.tally.finish(self.day, self.judge, worked, &evenness, left, self.engine.played(), self.trace)
+        let left = open + untold + plans_out + self.jobs.len();
+        let outcome = self.tally.finish(
+            self.day,
+            self.judge,
+            worked,
+            &evenness,
+            left,
+            self.engine.played(),
+            self.trace,
+        );
+        Result { crossings, ..outcome }
     }
 }
 
--- a/crates/pools/tests/plan.rs
+++ b/crates/pools/tests/plan.rs
@@ -225,6 +225,23 @@
     assert!((plan.terms(0.0, ClassId(0)).fee - 0.03).abs() < 1e-9);
 }
 
+#[test]
+fn a_class_has_a_budget_of_its_own_beside_that_of_all() {
+    let bills = Budget { classes: Some(vec![ClassId(1)]), ..budget(Measure::Share(0.1), 5.0) };
+    let mut plan = plan(vec![budget(Measure::Share(1.0), 50.0), bills], 1);
+    let bill = |number, to| Attempt { class: ClassId(1), ..attempt(number, to, None) };
+    (0..50).for_each(|number| plan.sent(0.0, attempt(number, HOME, None)));
+    assert_eq!(
+        [0, 1].map(|class| plan.pays(0.0, ClassId(class), Some(FAR))),
+        [true, false],
+        "no bill has earned one"
+    );
+    (50..60).for_each(|number| plan.sent(0.0, bill(number, HOME)));
+    assert!(plan.pays(0.0, ClassId(1), Some(FAR)));
+    plan.sent(0.0, bill(60, FAR));
+    assert_eq!([0, 1].map(|class| plan.pays(0.0, ClassId(class), Some(FAR))), [true, false], "it is spent");
+}
+
 #[test]
 fn many_sidecars_share_one_rate() {
     let mut one = plan(vec![budget(Measure::PerSecond(10.0), 10.0)], 1);
