--- a/crates/model/src/judge.rs
+++ b/crates/model/src/judge.rs
@@ -313,8 +313,7 @@
         }
         cold.came.push_back((now, work));
         cold.sum += work;
-        while let Some((at, old)) = cold.came.front().copied().filter(|(at, _)| at + window < now) {
-            let _ = at;
+        while let Some((_, old)) = cold.came.front().copied().filter(|(at, _)| at + window < now) {
             cold.came.pop_front();
             cold.sum -= old;
         }
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -132,7 +132,7 @@
     }
 
     /// A try was not served.
-    pub fn not_served(&mut self, _class: usize, refused: bool, counts: bool) {
+    pub fn not_served(&mut self, refused: bool, counts: bool) {
         let count = if refused { &mut self.refused } else { &mut self.failed };
         *count += u64::from(counts);
     }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -25,8 +25,6 @@
 const WARMING_MS: f64 = 250.0;
 /// A policy is told that clients wait this much less: its last word has to reach them.
 const IN_HAND_MS: f64 = 1.0;
-/// A probe is answered beside the queue, after the way there and back.
-const RESET_MS: f64 = 0.0;
 /// A connection that does not come up has failed after this.
 const CONNECT_MS: f64 = 20.0;
 /// What holds for crossings, as the page for operators has it: fees of full and empty budgets, and what is saved up.
@@ -426,7 +424,7 @@
                 self.jobs.remove(&job_number);
             }
             Some(stay_away) => {
-                self.tally.not_served(class, refused, job.counts);
+                self.tally.not_served(refused, job.counts);
                 // What must not run twice is asked again only where that is said to be harmless.
                 let may = refused || kind.effect.effect() == Effect::Repeatable;
                 if may && job.tries <= self.day.clients.retries {
@@ -599,7 +597,7 @@
         if attempt.told {
             self.drop_attempt(number);
         } else {
-            self.engine.after(way + nanos(RESET_MS), Happens::Back(number, outcome));
+            self.engine.after(way, Happens::Back(number, outcome));
         }
     }
 
--- a/crates/model/tests/judge.rs
+++ b/crates/model/tests/judge.rs
@@ -12,7 +12,6 @@
     inner: Box<dyn Policy>,
     how: How,
     servers: Vec<UpstreamId>,
-    seen: Vec<UpstreamId>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -67,7 +66,6 @@
                 }
                 (How::Floods, Action::Send { request, timeout, .. }) => {
                     let upstream = *self.servers.last().expect("there are servers");
-                    self.seen.push(upstream);
                     *action = Action::Send { request, upstream, timeout };
                 }
                 _ => {}
@@ -93,7 +91,7 @@
 fn spoilt(how: How) -> Result {
     let make = |settings: &Settings, seed: u64| -> Option<Box<dyn Policy>> {
         let inner = named("sagemast", settings, seed)?;
-        Some(Box::new(Spoilt { inner, how, servers: Vec::new(), seen: Vec::new() }))
+        Some(Box::new(Spoilt { inner, how, servers: Vec::new() }))
     };
     play_with(&day(), &make, 1, false).expect("it is made")
 }
