--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clients;
 pub mod discovery;
 pub mod effects;
+pub mod feeds;
 pub mod fixed;
 pub mod fleet;
 pub mod procfs;
