The daemon runs UDP listeners: flows live through handovers and kills, ctl flows

Change: `daemon.flows` names a file of listeners; its faults are told with those of the fleet file, and its descriptors count against the budget. In a handover listeners stand still, their sockets, tables (in memory files) and the sockets of all live flows pass over SCM_RIGHTS before `go`; a successor that fails leaves them where they were. Tables are kept in the state directory and believed while young; flows then go on by the same local ports. `ctl flows list, show, move, drop`; `check` reads flows.toml.

Other tests unchanged but for two lines that name the new key.

--- a/crates/cli/src/ctl.rs
+++ b/crates/cli/src/ctl.rs
@@ -1,6 +1,8 @@
 //! `sagemast ctl`: asks a daemon over its control socket, prints tables for people or JSON for programs, and ends with
 //! a code that a script can tell apart.
 
+mod flows;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -68,6 +70,9 @@
         /// Of one instance; of all together if it is not given.
         name: Option<String>,
     },
+    /// Listeners for UDP flows: see them, move flows, end them.
+    #[command(subcommand)]
+    Flows(flows::Command),
     /// Show the process: budgets, threads, how many instances are how far.
     Status,
     /// Run an instance that was stopped, drained or left alone after failures.
@@ -146,6 +151,7 @@
         Command::List => Ask::List,
         Command::Show { name } => Ask::Show { name: name.clone() },
         Command::Crossing { name } => Ask::Crossing { name: name.clone() },
+        Command::Flows(command) => command.ask(),
         Command::Status => Ask::Status,
         Command::Start { name } => Ask::Start { name: name.clone() },
         Command::Stop { name } => Ask::Stop { name: name.clone() },
@@ -233,7 +239,7 @@
                     instances.iter().all(|instance| has_come_about(command, instance))
                 }
                 Answer::Process(process) => process.settled,
-                Answer::Changes(_) | Answer::Crossing(_) | Answer::Done(_) => true,
+                Answer::Changes(_) | Answer::Crossing(_) | Answer::Flows(_) | Answer::Done(_) => true,
             },
         };
         if there {
@@ -262,6 +268,8 @@
         (_, Answer::Instances(instances)) => list(instances),
         (_, Answer::Process(process)) => status(process),
         (_, Answer::Crossing(reports)) => crossing(reports),
+        (Command::Flows(command), Answer::Flows(reports)) => command.print(reports),
+        (_, Answer::Flows(_)) => {}
         (_, Answer::Changes(changes)) => print_changes(changes),
         (_, Answer::Done(text)) => println!("{text}"),
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -10,6 +10,7 @@
 use clap::{Parser, Subcommand};
 use sagemast_daemon::fleet_file;
 use sagemast_daemon::supervisor::{self, Options};
+use sagemast_flows::file::File as FlowsFile;
 use sagemast_pools::file::{Fault, File as PoolsFile};
 use sagemast_sidecar::config::Config;
 use sagemast_sidecar::log::Log;
@@ -83,6 +84,13 @@
     is_limits.then(|| PoolsFile::read(&text))
 }
 
+/// What is wrong with a file of listeners for UDP flows (`deploy/flows.toml`); `None` if it is another.
+fn flows(file: &Path) -> Option<Result<FlowsFile, Vec<sagemast_flows::file::Fault>>> {
+    let text = std::fs::read_to_string(file).ok()?;
+    let is_flows = text.lines().any(|line| line.trim_start().starts_with("[[listener]]"));
+    is_flows.then(|| FlowsFile::read(&text))
+}
+
 /// Prints every fault, a line each, or that there is none.
 fn check(file: &Path) -> ExitCode {
     let faults: Vec<String> = if file.extension().is_some_and(|ending| ending == "json") {
@@ -90,6 +98,9 @@
         let faults = text.and_then(|text| Config::faults(&text).map_or_else(|| Ok(()), Err));
         let shown = file.display();
         faults.err().into_iter().flatten().map(|fault| format!("{shown}: {fault}")).collect()
+    } else if let Some(flows) = flows(file) {
+        let shown = file.display();
+        flows.err().into_iter().flatten().map(|fault| format!("{shown}:{fault}")).collect()
     } else if let Some(limits) = limits(file) {
         let shown = file.display();
         limits.err().into_iter().flatten().map(|fault| format!("{shown}:{fault}")).collect()
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use sagemast_decide::settings::Config as SettingsObject;
+use sagemast_flows::file::File as FlowsFile;
 use sagemast_pools::counts::Names;
 use sagemast_pools::crossing;
 use sagemast_sidecar::config::Limits;
@@ -47,6 +48,8 @@
     pub rules: Rules,
     /// A drain takes this long at most, whatever is still open.
     pub drain_at_most: Duration,
+    /// Listeners for UDP flows.
+    pub flows: Option<Arc<FlowsFile>>,
     /// A successor process must be ready in this time.
     pub upgrade_within: Duration,
 }
--- a/crates/daemon/src/fleet_file.rs
+++ b/crates/daemon/src/fleet_file.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use sagemast_decide::settings::Config as SettingsObject;
+use sagemast_flows::file::File as FlowsFile;
 use sagemast_pools::file::File as PoolsFile;
 use sagemast_sidecar::config::seed_of;
 use serde::Deserialize;
@@ -311,12 +312,14 @@
     }
     let demand =
         |of: fn(&InstanceSpec) -> usize| fleet.instances.values().map(|spec| of(spec) as u64).sum::<u64>();
+    let listeners = fleet.process.flows.iter().flat_map(|flows| &flows.listeners);
+    let flows: usize = listeners.map(sagemast_flows::file::Listener::descriptors).sum();
     let needs = [
-        ("budgets.descriptors", demand(|spec| spec.sockets), fleet.process.budget.descriptors),
+        ("budgets.descriptors", demand(|spec| spec.sockets) + flows as u64, fleet.process.budget.descriptors),
         ("budgets.memory_mb", demand(|spec| spec.memory_mb), fleet.process.budget.memory_mb),
     ];
     for (key, needs, has) in needs.into_iter().filter(|(_, needs, has)| needs > has) {
-        let text = format!("it is {has}, and all instances together need {needs}");
+        let text = format!("it is {has}, and all instances and UDP flows together need {needs}");
         faults.push(top.doc.fault(span.clone(), key, text));
     }
 }
@@ -333,6 +336,7 @@
     let control = reader.path("control");
     let state = reader.path("state").map(|(path, ..)| path);
     let folder = reader.path("instances").map(|(path, _, span)| (path, span));
+    let flows = reader.path("flows").and_then(|(path, ..)| flows(&path, reader.faults));
     match &control {
         None => {}
         Some((path, layer, span)) if path.as_os_str().len() > SOCKET_PATH_BYTES => {
@@ -375,11 +379,29 @@
         connections_per_upstream,
         rules,
         drain_at_most,
+        flows,
         upgrade_within,
     };
     (process, folder)
 }
 
+/// The file of listeners for UDP flows.
+fn flows(path: &Path, faults: &mut Vec<Fault>) -> Option<Arc<FlowsFile>> {
+    let text = read_text(path, faults)?;
+    match FlowsFile::read(&text) {
+        Ok(file) => Some(Arc::new(file)),
+        Err(found) => {
+            let file = path.display().to_string();
+            let told = |fault: sagemast_flows::file::Fault| {
+                let sagemast_flows::file::Fault { line, key, text } = fault;
+                Fault { file: file.clone(), line, key, text }
+            };
+            faults.extend(found.into_iter().map(told));
+            None
+        }
+    }
+}
+
 /// The files of the directory form, in the order of their names.
 fn files_of(folder: &Path, doc: &Doc<'_>, span: Range<usize>, faults: &mut Vec<Fault>) -> Vec<PathBuf> {
     let entries = match std::fs::read_dir(folder) {
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -1,5 +1,6 @@
 //! What is said over the control socket: one JSON object a line, each with the version of the form.
 
+use sagemast_flows::counts::Counts as FlowCounts;
 use sagemast_pools::counts::Totals;
 use serde::{Deserialize, Serialize};
 
@@ -39,6 +40,33 @@
         #[serde(default)]
         name: Option<String>,
     },
+    /// Listeners for UDP flows: one or all, each with so many of its flows.
+    Flows {
+        /// Its name.
+        #[serde(default)]
+        name: Option<String>,
+        /// How many flows to tell of.
+        #[serde(default)]
+        flows: usize,
+    },
+    /// Move one flow, or all of a server.
+    FlowsMove {
+        /// The listener.
+        name: String,
+        /// The flow; all of `server` if it is not given.
+        #[serde(default)]
+        flow: Option<u64>,
+        /// Where to a flow goes (to whom the module chooses if it is not given), or whose flows move.
+        #[serde(default)]
+        server: Option<String>,
+    },
+    /// End a flow.
+    FlowsDrop {
+        /// The listener.
+        name: String,
+        /// The flow.
+        flow: u64,
+    },
     /// Run one that was stopped, drained or left alone after failures.
     Start {
         /// Its name.
@@ -156,6 +184,8 @@
     Process(Box<ProcessStatus>),
     /// What crosses between zones, by instance; those that count nothing are left out.
     Crossing(Vec<CrossingReport>),
+    /// Listeners for UDP flows.
+    Flows(Vec<FlowsReport>),
     /// What changes, or would.
     Changes(Changes),
     /// Nothing but that it was done, or begun.
@@ -173,6 +203,61 @@
     pub budgets: Vec<BudgetLevel>,
 }
 
+/// A listener for UDP flows as it is told.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FlowsReport {
+    /// Its name.
+    pub name: String,
+    /// Where clients send to.
+    pub listen: String,
+    /// Flows, and how many the table holds at most.
+    pub flows: [usize; 2],
+    /// The same of unanswered ones.
+    pub tentative: [usize; 2],
+    /// Source prefixes that are told apart.
+    pub sources: usize,
+    /// Datagrams that the kernel dropped since nobody read them in time.
+    pub kernel_drops: Option<u64>,
+    /// Totals.
+    pub counts: FlowCounts,
+    /// Its servers.
+    pub servers: Vec<FlowServer>,
+    /// The first of its flows.
+    pub table: Vec<FlowReport>,
+}
+
+/// A server of UDP flows.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FlowServer {
+    /// Its name.
+    pub name: String,
+    /// Where it takes datagrams.
+    pub dial: String,
+    /// `serving`, `draining`, `gone` or `lost`.
+    pub state: String,
+    /// Its flows, and those of them that it has answered.
+    pub flows: [usize; 2],
+    /// Datagrams a second, both ways.
+    pub per_s: f64,
+}
+
+/// One UDP flow.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FlowReport {
+    /// Its number.
+    pub flow: u64,
+    /// Where its client is.
+    pub client: String,
+    /// Its server.
+    pub server: String,
+    /// Whether a server has answered.
+    pub live: bool,
+    /// Milliseconds since it began, and since its client and its server were heard; -1 for never.
+    pub ages_ms: [f64; 3],
+    /// Datagrams from and to its client.
+    pub datagrams: [u64; 2],
+}
+
 /// A budget as it stood at the last attempt.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BudgetLevel {
@@ -343,6 +428,8 @@
             Ask::List,
             Ask::Show { name: "a".to_owned() },
             Ask::Crossing { name: None },
+            Ask::Flows { name: Some("a".to_owned()), flows: 3 },
+            Ask::FlowsMove { name: "a".to_owned(), flow: Some(7), server: None },
             Ask::Apply { dry_run: true },
             Ask::Fault { fault: Fault::Stall { worker: 1, ms: 2_000 } },
             Ask::Upgrade { binary: "/bin/x".to_owned() },
--- a/crates/daemon/src/handover.rs
+++ b/crates/daemon/src/handover.rs
@@ -5,6 +5,7 @@
 //! predecessor                                   successor (its standard input is the pair)
 //!   begin, sockets + descriptors, lists, end ->
 //!                                            <- ready, or failed
+//!   UDP flows, each listener's socket, table and sockets of flows ->
 //!   go                                       ->   accepts from now on
 //!                                            <- serving
 //!   drains; its end of the pair closes       ->   knows that it is alone
@@ -15,7 +16,8 @@
 //! `cancel`, the predecessor was killed, and its successor goes on in its place.
 
 use std::collections::{HashMap, VecDeque};
-use std::io::{self, IoSlice, IoSliceMut};
+use std::fs::File;
+use std::io::{self, IoSlice, IoSliceMut, Read, Seek, Write};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
@@ -31,6 +33,7 @@
     SendFlags, recvmsg, sendmsg,
 };
 use sagemast_sidecar::lines::Lines;
+use sagemast_udp::Legacy;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, UnixListener};
 
@@ -41,6 +44,8 @@
 const VERSION: u32 = 1;
 /// Descriptors a message; the kernel takes 253 (`SCM_MAX_FD`).
 const AT_ONCE: usize = 128;
+/// The largest table of flows: four million of some 60 bytes.
+const TABLE_BYTES: u64 = 256 << 20;
 /// The longest line: the list of upstreams of one instance.
 const LINE_BYTES: usize = 8 << 20;
 /// What is said of a successor that ends too soon.
@@ -79,15 +84,39 @@
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
 enum Said {
-    Begin { v: u32, lock: bool, others: u32, ready: Vec<String>, stopped: Vec<String>, first: u64 },
-    Sockets { places: Vec<PlaceText> },
-    List { name: String, list: serde_json::Value },
+    Begin {
+        v: u32,
+        lock: bool,
+        others: u32,
+        ready: Vec<String>,
+        stopped: Vec<String>,
+        first: u64,
+    },
+    Sockets {
+        places: Vec<PlaceText>,
+    },
+    List {
+        name: String,
+        list: serde_json::Value,
+    },
     End,
-    Ready { places: Vec<PlaceText> },
-    Failed { text: String },
+    Ready {
+        places: Vec<PlaceText>,
+    },
+    Failed {
+        text: String,
+    },
     Go,
     Cancel,
     Serving,
+    /// A listener for UDP flows: its socket and its table, in a file that is in memory only.
+    Flows {
+        name: String,
+    },
+    /// Sockets of flows of the listener before, in the order of its table.
+    FlowSockets {
+        count: usize,
+    },
 }
 
 /// Everything that passes.
@@ -289,8 +318,9 @@
 
     /// Lets it serve, and waits until it does. What comes back is to be kept as long as this process runs: its end
     /// tells the successor that it is alone.
-    pub fn go(mut self) -> Result<UnixStream, String> {
-        let heard = match self.pair.say(&Said::Go, &[]) {
+    pub fn go(mut self, flows: Vec<Legacy>) -> Result<UnixStream, String> {
+        let told = flows.into_iter().try_for_each(|legacy| self.leave(legacy));
+        let heard = match told.and_then(|()| self.pair.say(&Said::Go, &[])) {
             Ok(()) => self.pair.hear(Some(Instant::now() + SERVING)),
             Err(error) => Err(error),
         };
@@ -300,6 +330,21 @@
         }
     }
 
+    /// Leaves a listener for UDP flows to it.
+    fn leave(&self, legacy: Legacy) -> io::Result<()> {
+        let Legacy { name, socket, table, sockets } = legacy;
+        let held = rustix::fs::memfd_create("flows", rustix::fs::MemfdFlags::CLOEXEC)?;
+        let mut held = File::from(held);
+        held.write_all(&table)?;
+        held.rewind()?;
+        self.pair.say(&Said::Flows { name }, &[socket.as_fd(), held.as_fd()])?;
+        for some in sockets.chunks(AT_ONCE) {
+            let sockets: Vec<BorrowedFd<'_>> = some.iter().map(AsFd::as_fd).collect();
+            self.pair.say(&Said::FlowSockets { count: some.len() }, &sockets)?;
+        }
+        Ok(())
+    }
+
     /// Ends it, and says why.
     pub fn end(&mut self, reason: &str) -> String {
         let _ = self.pair.say(&Said::Cancel, &[]);
@@ -383,19 +428,48 @@
         let _ = self.0.say(&Said::Failed { text: text.to_owned() }, &[]);
     }
 
-    /// Says that all is ready, and waits for the word.
-    pub fn ready(&mut self, places: &[Place]) -> Word {
+    /// Says that all is ready, and waits for the word. With it come the listeners for UDP flows.
+    pub fn ready(&mut self, places: &[Place]) -> (Word, Vec<Legacy>) {
         let places = places.iter().map(PlaceText::from).collect();
+        let mut flows = Vec::new();
         if self.0.say(&Said::Ready { places }, &[]).is_err() {
-            return Word::Dead;
+            return (Word::Dead, flows);
         }
-        match self.0.hear(None) {
-            Ok(Some(Said::Go)) => Word::Go,
-            Ok(None) => Word::Dead,
-            _ => Word::Cancel,
+        loop {
+            let word = match self.0.hear(None) {
+                Ok(Some(Said::Flows { name })) => match self.take(name) {
+                    Ok(legacy) => {
+                        flows.push(legacy);
+                        continue;
+                    }
+                    Err(_) => Word::Cancel,
+                },
+                Ok(Some(Said::FlowSockets { count })) => {
+                    let sockets = (0..count).map(|_| self.0.descriptor()).collect::<io::Result<Vec<_>>>();
+                    match (flows.last_mut(), sockets) {
+                        (Some(legacy), Ok(sockets)) => {
+                            legacy.sockets.extend(sockets);
+                            continue;
+                        }
+                        _ => Word::Cancel,
+                    }
+                }
+                Ok(Some(Said::Go)) => Word::Go,
+                Ok(None) => Word::Dead,
+                _ => Word::Cancel,
+            };
+            return (word, flows);
         }
     }
 
+    /// Takes a listener for UDP flows over, but for the sockets of its flows.
+    fn take(&mut self, name: String) -> io::Result<Legacy> {
+        let socket = self.0.descriptor()?;
+        let mut table = Vec::new();
+        File::from(self.0.descriptor()?).take(TABLE_BYTES).read_to_end(&mut table)?;
+        Ok(Legacy { name, socket, table, sockets: Vec::new() })
+    }
+
     /// Says that this process serves.
     pub fn serving(&self) {
         let _ = self.0.say(&Said::Serving, &[]);
--- a/crates/daemon/src/kept.rs
+++ b/crates/daemon/src/kept.rs
@@ -101,6 +101,17 @@
         }
     }
 
+    /// The table of a listener for UDP flows as it was kept last.
+    pub fn flows(&self, name: &str) -> Option<Vec<u8>> {
+        self.store.as_ref()?.read(&Item::Flows(name.into()))
+    }
+
+    /// How that listener has its table kept.
+    pub fn flows_keeper(&self, name: &str) -> Option<sagemast_udp::Keeper> {
+        let pen = self.store.as_ref()?.pen(Item::Flows(name.into()));
+        Some(Box::new(pen))
+    }
+
     /// Forgets an instance that is configured no more.
     pub fn forget(&mut self, name: &str) {
         self.lists.remove(name);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod store;
 pub mod succession;
 pub mod supervisor;
+mod udp;
 pub mod workers;
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -57,6 +57,7 @@
                 None => unknown(&name),
             },
             Ask::Crossing { name } => self.crossing(name.as_deref()),
+            Ask::Flows { name, flows } => self.udp.report(name.as_deref(), flows),
             Ask::Status => Reply::ok(Answer::Process(Box::new(self.status()))),
             Ask::Apply { dry_run: true } => self.apply(true).0,
             Ask::Fault { fault } => self.fail_on_purpose(&fault),
@@ -72,6 +73,8 @@
             Ask::Restart { name } => self.tell(&name, Event::Restart, false),
             Ask::Drain { name } => self.tell(&name, Event::Stop, false),
             Ask::Stop { name } => self.tell(&name, Event::Stop, true),
+            Ask::FlowsMove { name, flow, server } => self.udp.move_flows(&name, flow, server),
+            Ask::FlowsDrop { name, flow } => self.udp.drop_flow(&name, flow),
             Ask::DrainAll => {
                 self.log.line("told to drain everything: finishing what is held");
                 self.drain_all();
@@ -141,6 +144,7 @@
         // Workers and paths stay as they are until a restart.
         let new = &mut self.fleet.process;
         (new.workers, new.control, new.state) = (process.workers, process.control, process.state);
+        self.udp.apply(&self.fleet.process, &self.kept, &self.log);
         self.grants.share(&self.fleet);
         self.plan.set_budget(self.fleet.process.budget, self.fleet.process.rules.clone());
         let instances = self.fleet.instances.clone();
--- a/crates/daemon/src/store.rs
+++ b/crates/daemon/src/store.rs
@@ -30,6 +30,8 @@
     List(Arc<str>),
     /// What an instance has counted of traffic between zones, as JSON.
     Crossing(Arc<str>),
+    /// The table of a listener for UDP flows, as it is handed over.
+    Flows(Arc<str>),
     /// The names of the instances that the operator has stopped, as JSON.
     Stopped,
 }
@@ -39,6 +41,7 @@
         match self {
             Item::List(_) => "list",
             Item::Crossing(_) => "crossing",
+            Item::Flows(_) => "flows",
             Item::Stopped => "stopped",
         }
     }
@@ -47,6 +50,7 @@
         match self {
             Item::List(name) => format!("list.{name}"),
             Item::Crossing(name) => format!("crossing.{name}"),
+            Item::Flows(name) => format!("flows.{name}"),
             Item::Stopped => "stopped".to_owned(),
         }
     }
@@ -78,6 +82,14 @@
 }
 
 impl Desk {
+    fn put(&self, item: Item, payload: Option<Vec<u8>>) {
+        let mut work = self.work();
+        if !work.over {
+            work.pending.insert(item, payload);
+            self.changed.notify_all();
+        }
+    }
+
     fn work(&self) -> MutexGuard<'_, Work> {
         // The writer does not panic while it holds this; were it to, the work is as good as it was.
         self.work.lock().unwrap_or_else(PoisonError::into_inner)
@@ -129,7 +141,9 @@
 
     /// Writes nothing more: the directory is a successor's now.
     pub fn abandon(self) {
-        self.desk.work().pending.clear();
+        let mut work = self.desk.work();
+        work.pending.clear();
+        work.over = true;
     }
 
     /// What was kept last, if it can be believed.
@@ -169,8 +183,13 @@
 
     /// Has something written before long; `None` has it removed. Returns at once.
     pub fn write(&self, item: Item, payload: Option<Vec<u8>>) {
-        self.desk.work().pending.insert(item, payload);
-        self.desk.changed.notify_all();
+        self.desk.put(item, payload);
+    }
+
+    /// A way to write one file, for another thread. After this store it does nothing.
+    pub fn pen(&self, item: Item) -> impl Fn(Vec<u8>) + Send + use<> {
+        let desk = self.desk.clone();
+        move |payload| desk.put(item.clone(), Some(payload))
     }
 
     /// Why the last write failed, if it did.
--- a/crates/daemon/src/succession.rs
+++ b/crates/daemon/src/succession.rs
@@ -60,6 +60,8 @@
     /// Those that were ready in the predecessor, and how many generations it runs.
     awaited: Vec<Name>,
     others: u32,
+    /// A predecessor serves until it says otherwise.
+    comes_after: bool,
     upgrade: Option<Upgrade>,
     /// Places that a successor listens at.
     left_to: HashSet<Place>,
@@ -74,6 +76,7 @@
             phase: Phase::Serving,
             awaited: Vec::new(),
             others: 0,
+            comes_after: false,
             upgrade: None,
             left_to: HashSet::new(),
             heir: None,
@@ -83,7 +86,7 @@
     /// Of one that takes over.
     pub fn after(estate: &mut Estate) -> Succession {
         let awaited = std::mem::take(&mut estate.ready);
-        Succession { awaited, others: estate.others, ..Succession::first() }
+        Succession { awaited, others: estate.others, comes_after: true, ..Succession::first() }
     }
 
     /// How far the process is.
@@ -96,6 +99,11 @@
         self.others
     }
 
+    /// Whether a predecessor may still read from sockets that are to be handed over.
+    pub fn others_may_read(&self) -> bool {
+        self.comes_after
+    }
+
     /// Whether a handover is under way.
     pub fn is_under_way(&self) -> bool {
         self.upgrade.is_some()
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -14,6 +14,7 @@
 use sagemast_sidecar::instance::{Control, Drain, Ended, Instance, Parts, StandIn, StandInControl};
 use sagemast_sidecar::log::Log;
 use sagemast_sidecar::messages::Outlet;
+use sagemast_udp::Legacy;
 use tokio::net::UnixListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -31,6 +32,7 @@
 use crate::notify::notify;
 use crate::plan::{End, Event, Generation, Leave, Millis, Name, Plan, Spec, Step};
 use crate::succession::{Phase, Readiness, Succession};
+use crate::udp::Udp;
 use crate::workers::Workers;
 
 /// Descriptors of the process that no instance has: standard streams, the control socket and its clients, the state
@@ -150,6 +152,14 @@
         .enable_all()
         .build()
         .map_err(|error| format!("cannot start the runtime: {error}"))?;
+    // A successor's begin when it may go: until then the predecessor reads from their sockets.
+    let udp = match succession.others_may_read() {
+        true => Udp::default(),
+        false => Udp::start(&fleet.process, Vec::new(), &kept).inspect_err(|_| {
+            // Nobody will answer there.
+            let _ = std::fs::remove_file(control);
+        })?,
+    };
     let workers =
         Workers::start(*workers).map_err(|error| format!("daemon.workers: cannot start: {error}"))?;
     let (notes, inbox) = mpsc::unbounded_channel();
@@ -161,6 +171,7 @@
         workers,
         grants: Grants::new(*connections_per_upstream),
         crossings: Crossings::since(Instant::now()),
+        udp,
         lives: HashMap::new(),
         stand_ins: HashMap::new(),
         notes,
@@ -210,7 +221,7 @@
     /// It serves, or was ended. With it the process id.
     Serves(u32, Result<UnixStream, String>),
     /// The predecessor has spoken.
-    Heard(Word),
+    Heard(Word, Vec<Legacy>),
     /// The predecessor has ended.
     Alone,
 }
@@ -250,6 +261,7 @@
     stand_ins: HashMap<Name, (StandInControl, Place)>,
     pub grants: Grants,
     pub crossings: Crossings,
+    pub udp: Udp,
     pub kept: Kept,
     pub succession: Succession,
     pub notes: mpsc::UnboundedSender<Note>,
@@ -313,7 +325,7 @@
             let wake = self.plan.next_wake().map(|at| self.epoch + Duration::from_millis(at));
             tokio::select! {
                 Some(note) = self.inbox.recv() => {
-                    let go = matches!(note, Note::Heard(Word::Go | Word::Dead));
+                    let go = matches!(note, Note::Heard(Word::Go | Word::Dead, _));
                     self.noted(note)?;
                     if go {
                         self.serve_clients(&mut clients);
@@ -340,6 +352,8 @@
             let _ = std::fs::remove_file(&self.fleet.process.control);
         }
         self.crossings.keep(&self.kept, true);
+        // They write their tables a last time.
+        self.udp.end();
         if !self.kept.flush() {
             self.log.line("state: not all was written before the end");
         }
@@ -405,8 +419,14 @@
             Note::Bequeath(binary) => self.bequeath(binary),
             Note::Successor(result) => self.successor_ready(result),
             Note::Serves(pid, result) => self.successor_serves(pid, result),
-            Note::Heard(Word::Cancel) => return Err("the predecessor goes on; this process ends".to_owned()),
-            Note::Heard(word) => {
+            Note::Heard(Word::Cancel, _) => {
+                return Err("the predecessor goes on; this process ends".to_owned());
+            }
+            Note::Heard(word, legacies) => {
+                match Udp::start(&self.fleet.process, legacies, &self.kept) {
+                    Ok(udp) => self.udp = udp,
+                    Err(line) => self.log.line(line),
+                }
                 self.listeners.forget_adopted();
                 self.feed(Event::OpenUp);
                 if word == Word::Dead {
@@ -615,6 +635,7 @@
     pub fn drain_all(&mut self) {
         self.succession.drain();
         notify("STOPPING=1");
+        self.udp.close();
         self.feed(Event::DrainAll);
     }
 
@@ -636,8 +657,10 @@
                 }
                 let notes = self.notes.clone();
                 let pid = successor.pid();
+                // From here until the successor reads, datagrams wait in the sockets.
+                let legacies = self.udp.freeze();
                 std::thread::spawn(move || {
-                    let _ = notes.send(Note::Serves(pid, successor.go()));
+                    let _ = notes.send(Note::Serves(pid, successor.go(legacies)));
                 });
             }
         }
@@ -651,6 +674,7 @@
                 if let Some(reception) = &mut self.reception {
                     reception.shut();
                 }
+                self.udp.end();
                 self.kept.abandon();
                 let ends = self.succession.handed_over(pid, pair);
                 self.log.line(format!("handed over to process {pid}; finishing what is held"));
@@ -665,6 +689,7 @@
 
     fn upgrade_failed(&mut self, reason: &str) {
         self.log.line(format!("upgrade: {reason}; this process goes on"));
+        self.udp.thaw();
         let Some(ends) = self.succession.failed(reason) else { return };
         self.feed(Event::Others(0));
         if ends {
@@ -688,9 +713,9 @@
         let notes = self.notes.clone();
         // A thread of its own: it waits for as long as the predecessor takes to drain.
         std::thread::spawn(move || {
-            let word = predecessor.ready(&places);
+            let (word, legacies) = predecessor.ready(&places);
             // The word first: it is heard before anyone is told that this process serves.
-            let heard = notes.send(Note::Heard(word)).is_ok();
+            let heard = notes.send(Note::Heard(word, legacies)).is_ok();
             if heard && word == Word::Go {
                 predecessor.serving();
                 predecessor.wait_end();
--- a/crates/daemon/tests/fleet_file.rs
+++ b/crates/daemon/tests/fleet_file.rs
@@ -93,7 +93,7 @@
     let expected = [
         "fleet.toml:2: daemon.workers: it is 0; from 1 to 256 is allowed",
         "fleet.toml:3: daemon.control: invalid type: integer `7`, expected a string",
-        "fleet.toml:4: daemon.stat: no such key; there are control, instances, state, workers",
+        "fleet.toml:4: daemon.stat: no such key; there are control, flows, instances, state, workers",
         "fleet.toml:6: budgets.descriptors: invalid type: string \"many\", expected i64",
         "fleet.toml:7: lifecyle: no such table; there are daemon, budgets, lifecycle, template and [[instance]]",
         "fleet.toml:10: template.colour: no such key;",
@@ -147,8 +147,8 @@
     };
     let faults = read(&two("a", "b")).unwrap_err();
     for text in [
-        "budgets.descriptors: it is 100, and all instances together need 128",
-        "budgets.memory_mb: it is 10, and all instances together need 16",
+        "budgets.descriptors: it is 100, and all instances and UDP flows together need 128",
+        "budgets.memory_mb: it is 10, and all instances and UDP flows together need 16",
         "instance[1].listen: \"a\" listens on 127.0.0.1:1, too",
     ] {
         assert!(faults.iter().any(|fault| fault.ends_with(text)), "not told: {text}\n{faults:#?}");
--- a/crates/stage/src/fleet.rs
+++ b/crates/stage/src/fleet.rs
@@ -30,6 +30,8 @@
     pub workers: usize,
     /// Whether state is kept.
     pub state: bool,
+    /// The text of a file of listeners for UDP flows, if there is to be one.
+    pub flows: Option<String>,
     /// Further lines of `[lifecycle]`.
     pub lifecycle: String,
     /// `[budgets]`: descriptors and connections to one upstream.
@@ -51,6 +53,7 @@
             folder: folder.to_owned(),
             workers: 2,
             state: false,
+            flows: None,
             lifecycle: String::new(),
             budgets: (16_000, 4_000),
             sockets: 64,
@@ -82,8 +85,9 @@
     pub fn text(&self) -> String {
         let (descriptors, connections) = self.budgets;
         let state = if self.state { "state = \"state\"\n" } else { "" };
+        let flows = if self.flows.is_some() { "flows = \"flows.toml\"\n" } else { "" };
         let mut text = format!(
-            "[daemon]\nworkers = {}\ncontrol = \"control.sock\"\n{state}\n[budgets]\nmemory_mb = 16000\n\
+            "[daemon]\nworkers = {}\ncontrol = \"control.sock\"\n{state}{flows}\n[budgets]\nmemory_mb = 16000\n\
              descriptors = {descriptors}\nconnections_per_upstream = {connections}\n\n[lifecycle]\n{}\n\n\
              [template]\ndiscovery = \"{}\"\nsockets = {}\nmemory_mb = 4\n\n[template.settings]{}\n",
             self.workers, self.lifecycle, self.discovery, self.sockets, self.settings
@@ -98,6 +102,9 @@
     /// Puts it in its place, whole at once.
     pub fn write(&self) -> std::io::Result<()> {
         std::fs::create_dir_all(&self.folder)?;
+        if let Some(flows) = &self.flows {
+            std::fs::write(self.folder.join("flows.toml"), flows)?;
+        }
         let beside = self.folder.join("fleet.new");
         std::fs::write(&beside, self.text())?;
         std::fs::rename(beside, self.path())
--- a/crates/udp/src/front.rs
+++ b/crates/udp/src/front.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, SyncSender, channel, sync_channel};
@@ -43,6 +43,14 @@
     pub sockets: Vec<OwnedFd>,
 }
 
+impl Legacy {
+    /// Whether it is of the address that is configured now.
+    fn fits(&self, settings: &Settings) -> bool {
+        let at = self.socket.try_clone().and_then(|socket| UdpSocket::from(socket).local_addr());
+        at.is_ok_and(|at| at == settings.listen || settings.listen == SocketAddr::new(at.ip(), 0))
+    }
+}
+
 /// A listener as operators are shown it.
 #[derive(Debug, Clone)]
 pub struct View {
@@ -139,7 +147,7 @@
         let mut front = Front::default();
         for settings in &file.listeners {
             let place = legacies.iter().position(|legacy| legacy.name == settings.name);
-            let legacy = place.map(|at| legacies.swap_remove(at));
+            let legacy = place.map(|at| legacies.swap_remove(at)).filter(|legacy| legacy.fits(settings));
             let table = if legacy.is_none() { kept(&settings.name) } else { None };
             front.add(settings, legacy, table, keepers)?;
         }
