sagemast-rig udp-flows: feeds through floods and deaths, cost beside a bare pass-through

Change: the scenario and its load: a bare pass-through, an echo, clients in a closed loop. A lost server whose trial is due is offered to the module for new flows alone, one at a time: offered to all, it won most draws of feeds that had just lost another server, and took the module's retries with it.

--- a/crates/flows/src/flows.rs
+++ b/crates/flows/src/flows.rs
@@ -56,6 +56,8 @@
     last_window: Millis,
     next_request: u64,
     tentative: usize,
+    /// Lost servers that a new flow may try.
+    trials: Vec<u32>,
     closing: bool,
     counts: Counts,
     actions: Vec<module::Action>,
@@ -146,6 +148,7 @@
             last_window: now,
             next_request: 0,
             tentative: 0,
+            trials: Vec::new(),
             closing: false,
             counts: Counts::default(),
             actions: Vec::new(),
@@ -282,9 +285,11 @@
         if self.table.len() >= self.rules.flows {
             return Fate::Dropped(Drop::TableFull);
         }
-        let Some((server, opening)) = self.choose(now, true, out) else {
-            return Fate::Dropped(Drop::NoServer);
-        };
+        // Lost ones are offered to new flows alone: a feed that has just lost one server is no trial of another.
+        self.offer_trials(now, true);
+        let chosen = self.choose(now, out);
+        self.offer_trials(now, false);
+        let Some((server, opening)) = chosen else { return Fate::Dropped(Drop::NoServer) };
         let bucket = Bucket::full(self.rules.flow_per_s * FLOW_SAVED_S, now);
         let at = self.table.insert(key, from, source, now, bucket);
         let flow = &mut self.table.flows[at as usize];
@@ -311,8 +316,23 @@
 
     // --- The choice of a server --------------------------------------------------------------
 
-    /// Has the module choose a server for a flow. Only a new one may try a server that counts as lost.
-    fn choose(&mut self, now: Millis, new: bool, out: &mut Vec<Action>) -> Option<(u32, Opening)> {
+    /// Offers the lost servers whose trial is due to the module, or takes them back.
+    fn offer_trials(&mut self, now: Millis, offered: bool) {
+        if self.trials.is_empty() {
+            return;
+        }
+        let due = |at: &u32| self.servers.all[*at as usize].used && self.servers.all[*at as usize].is_due();
+        let trials: Vec<u32> = self.trials.iter().copied().filter(due).collect();
+        for at in &trials {
+            if self.servers.all[*at as usize].offer(offered) {
+                self.relist(now, *at);
+            }
+        }
+        self.trials = trials;
+    }
+
+    /// Has the module choose a server for a flow.
+    fn choose(&mut self, now: Millis, out: &mut Vec<Action>) -> Option<(u32, Opening)> {
         self.next_request += 1;
         let request = self.next_request;
         let time_left = self.rules.unanswered;
@@ -324,7 +344,7 @@
         };
         let mut actions = std::mem::take(&mut self.actions);
         self.module.handle(now, arrived, &mut actions);
-        let chosen = self.follow(now, (request, 0), new, &mut actions, out);
+        let chosen = self.follow(now, (request, 0), &mut actions, out);
         self.actions = actions;
         chosen
     }
@@ -334,7 +354,6 @@
         &mut self,
         now: Millis,
         (request, mut attempt): (u64, u32),
-        new: bool,
         actions: &mut Vec<module::Action>,
         out: &mut Vec<Action>,
     ) -> Option<(u32, Opening)> {
@@ -352,7 +371,6 @@
             let server = place.map(|at| &mut self.servers.all[at as usize]);
             if let Some((at, server)) = place.zip(server)
                 && server.is_offered()
-                && (new || server.lost.is_none())
                 && server.has_place(now, &self.rules)
             {
                 if let Some(lost) = &mut server.lost {
@@ -426,7 +444,7 @@
         let mut actions = std::mem::take(&mut self.actions);
         self.module.handle(now, module::Event::Finished(end), &mut actions);
         let next = match again {
-            true => self.follow(now, (opening.request, opening.attempt + 1), false, &mut actions, out),
+            true => self.follow(now, (opening.request, opening.attempt + 1), &mut actions, out),
             false => None,
         };
         actions.clear();
@@ -569,7 +587,7 @@
         let Some(Move { cause, .. }) = self.table.flows[at as usize].moving else { return false };
         // A server that did not answer yet and was left is not heard of any more.
         self.finish(now, at, Outcome::Cancelled, out);
-        match self.choose(now, false, out) {
+        match self.choose(now, out) {
             Some((server, opening)) => {
                 self.go_to(at, server, Some(opening), cause, out);
                 true
@@ -691,8 +709,8 @@
             if serving && server.lost.is_none() && server.is_silent(now, &self.rules) && silent < most {
                 silent += 1;
                 self.lose(now, at, true, out);
-            } else if server.begin_trial(now) {
-                self.relist(now, at);
+            } else if server.becomes_due(now) {
+                self.trials.push(at);
             } else if let Standing::Draining { since } = server.standing
                 && now >= since + (self.rules.drain_grace - self.rules.move_over).max(0.0)
                 && let Some(first) = server.flows.first()
--- a/crates/flows/src/servers.rs
+++ b/crates/flows/src/servers.rs
@@ -49,7 +49,9 @@
     /// When a new flow may try it.
     trial_at: Millis,
     wait: Millis,
-    /// The module may draw it for one flow.
+    /// A new flow may try it.
+    due: bool,
+    /// The module may draw it, for the flow at hand.
     pub offered: bool,
     /// That flow is out.
     pub tried: bool,
@@ -197,7 +199,8 @@
     /// Counts as lost from now on.
     pub fn lose(&mut self, now: Millis, by_silence: bool) {
         let wait = TRIAL_AFTER[0];
-        self.lost = Some(Lost { by_silence, trial_at: now + wait, wait, offered: false, tried: false });
+        self.lost =
+            Some(Lost { by_silence, trial_at: now + wait, wait, due: false, offered: false, tried: false });
     }
 
     /// Answers again: as one that has just started, since nothing tells what it still holds.
@@ -213,12 +216,25 @@
         }
     }
 
-    /// Whether a lost one is to be offered for a trial, from now on.
-    pub fn begin_trial(&mut self, now: Millis) -> bool {
+    /// Whether a lost one may be tried from now on.
+    pub fn becomes_due(&mut self, now: Millis) -> bool {
         let serving = self.standing == Standing::Serving;
-        let due = |lost: &&mut Lost| serving && !lost.offered && now >= lost.trial_at;
+        let due = |lost: &&mut Lost| serving && !lost.due && now >= lost.trial_at;
         let lost = self.lost.as_mut().filter(due);
-        lost.map(|lost| lost.offered = true).is_some()
+        lost.map(|lost| lost.due = true).is_some()
+    }
+
+    /// Offers a lost one to the module, for a trial, or takes it back. Whether that changed anything.
+    pub fn offer(&mut self, offered: bool) -> bool {
+        let serving = self.standing == Standing::Serving;
+        let waits = |lost: &&mut Lost| serving && lost.due && !lost.tried;
+        let lost = self.lost.as_mut().filter(waits);
+        lost.map(|lost| lost.offered = offered).is_some()
+    }
+
+    /// Whether a trial of it is still to come, now or later.
+    pub fn is_due(&self) -> bool {
+        self.lost.is_some_and(|lost| lost.due && !lost.tried)
     }
 
     /// Datagrams a millisecond, both ways.
@@ -230,7 +246,8 @@
 impl Lost {
     fn postpone(&mut self, now: Millis) {
         self.wait = (self.wait * 2.0).min(TRIAL_AFTER[1]);
-        (self.trial_at, self.offered, self.tried) = (now + self.wait, false, false);
+        self.trial_at = now + self.wait;
+        (self.due, self.offered, self.tried) = (false, false, false);
     }
 }
 
--- a/crates/stage/src/bin/sagemast-rig/main.rs
+++ b/crates/stage/src/bin/sagemast-rig/main.rs
@@ -9,6 +9,7 @@
 mod ordinary_path;
 mod reality;
 mod report;
+mod udp_flows;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -48,6 +49,8 @@
         #[arg(long, value_name = "FILE", default_value = "experiments/reality.toml")]
         days: PathBuf,
     },
+    /// Live feeds over UDP through floods and deaths of servers, and what a datagram costs beside a bare pass-through.
+    UdpFlows,
     /// What a sidecar adds to a request, beside a bare pass-through to the same upstreams.
     OrdinaryPath,
 }
@@ -74,6 +77,7 @@
             Scenario::OrdinaryPath => ordinary_path::run(&program, cli.short).await,
             Scenario::Crossing => crossing::run(&program, cli.short).await,
             Scenario::Reality { days } => reality::run(&program, &days, cli.short).await,
+            Scenario::UdpFlows => udp_flows::run(&program, cli.short).await,
             Scenario::DecideScale => decide_scale::run(cli.short),
         }
     });
--- a/crates/stage/src/feeds.rs
+++ b/crates/stage/src/feeds.rs
@@ -19,7 +19,7 @@
 /// The head of a server's datagram.
 const HEAD: usize = 4 + 2 + 8 + 8;
 /// A viewer that was not heard for so long is sent nothing more.
-const FORGET: Duration = Duration::from_secs(6);
+const FORGET: Duration = Duration::from_secs(2);
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod buildings;
 pub mod clients;
+pub mod datagrams;
 pub mod discovery;
 pub mod effects;
 pub mod feeds;
--- a/crates/stage/src/procfs.rs
+++ b/crates/stage/src/procfs.rs
@@ -43,3 +43,18 @@
     let line = status.lines().find_map(|line| line.strip_prefix(name));
     line.and_then(|rest| rest.split_whitespace().next()?.parse().ok()).unwrap_or(0)
 }
+
+/// Processor time that threads of this process with that name have used.
+pub fn thread_cpu(name: &str) -> Duration {
+    let tasks = fs::read_dir("/proc/self/task").into_iter().flatten().flatten();
+    let ticks = tasks.filter_map(|task| {
+        let comm = fs::read_to_string(task.path().join("comm")).ok()?;
+        if comm.trim_end() != name {
+            return None;
+        }
+        let stat = fs::read_to_string(task.path().join("stat")).ok()?;
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        Some([11, 12].iter().filter_map(|at| fields.get(*at)?.parse::<f64>().ok()).sum::<f64>())
+    });
+    Duration::from_secs_f64(ticks.sum::<f64>() / TICKS)
+}
