--- a/crates/stage/tests/udp.rs
+++ b/crates/stage/tests/udp.rs
@@ -417,3 +417,18 @@
     round(4);
     assert_eq!(view(&next).sizes, [20, 0]);
 }
+
+#[test]
+fn a_datagram_that_the_kernel_refuses_to_send_is_counted_and_its_flow_goes_on() {
+    // With a head before it the largest datagram has no place in one.
+    let shared = "sockets = \"shared\"\nhello = \"SGM1\"\n";
+    let (front, at) = start(&file(&[echo()], shared));
+    let client = UdpSocket::bind(any()).expect("a socket");
+    client.connect(at).expect("a peer");
+    client.set_read_timeout(Some(PATIENCE)).expect("a time");
+    let mut buffer = vec![0; 65_536];
+    client.send(&[1; 65_507]).expect("it is sent");
+    client.send(&[1; 60_000]).expect("it is sent");
+    assert_eq!(client.recv(&mut buffer).expect("it comes back"), 60_000);
+    assert_eq!(view(&front).counts.dropped[Drop::Send as usize], 1);
+}
--- a/crates/udp/src/listener.rs
+++ b/crates/udp/src/listener.rs
@@ -199,8 +199,10 @@
             let mut meta = [RecvMeta::default(); BATCH_SIZE];
             let size = memory.len() / BATCH_SIZE;
             let received = {
-                let mut slices: Vec<IoSliceMut<'_>> = memory.chunks_mut(size).map(IoSliceMut::new).collect();
-                self.state.recv(UdpSockRef::from(&self.socket), &mut slices[..BATCH_SIZE], &mut meta)
+                let mut chunks = memory.chunks_mut(size);
+                let mut slices: [IoSliceMut<'_>; BATCH_SIZE] =
+                    std::array::from_fn(|_| IoSliceMut::new(chunks.next().unwrap_or_default()));
+                self.state.recv(UdpSockRef::from(&self.socket), &mut slices, &mut meta)
             };
             let count = match received {
                 Ok(count) => count,
--- a/crates/udp/src/replies.rs
+++ b/crates/udp/src/replies.rs
@@ -34,6 +34,14 @@
         if self.each.is_empty() {
             return;
         }
+        // One alone needs no list made of it.
+        if let [(to, at, length)] = self.each[..] {
+            if let Err(error) = socket.send_to(&self.bytes[at..at + length], to) {
+                unsent(length, &error);
+            }
+            self.bytes.clear();
+            return self.each.clear();
+        }
         let addresses: Vec<SocketAddrAny> =
             self.each.iter().map(|(to, ..)| SocketAddrAny::from(*to)).collect();
         let slices: Vec<[IoSlice<'_>; 1]> =
--- a/crates/udp/src/sockets.rs
+++ b/crates/udp/src/sockets.rs
@@ -69,3 +69,24 @@
         _ => Drop::Send,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::ErrorKind;
+
+    use rustix::io::Errno;
+
+    use super::*;
+
+    #[test]
+    fn what_the_kernel_says_is_told_apart() {
+        let of = |errno: Errno| fault(&errno.into());
+        for full in [Errno::AGAIN, Errno::NOBUFS, Errno::NOMEM] {
+            assert_eq!(of(full), Drop::Buffer, "{full}");
+        }
+        for refused in [Errno::PERM, Errno::MSGSIZE, Errno::NETUNREACH, Errno::ACCESS] {
+            assert_eq!(of(refused), Drop::Send, "{refused}");
+        }
+        assert_eq!(fault(&ErrorKind::NotConnected.into()), Drop::Send);
+    }
+}
