A console for operators: ready, figures, evacuate and rejoin

The life of an instance is one pure type now (lifecycle.rs), which replaces Wish and Phase; figures are counted by the driver alone, by class; the console is a thread of its own that reads them.

Clients' connections are closed in two steps, so that what crosses the close resets no answer.

A counter at the start of an attempt was ruled out for upstream_tries: it is counted when its last byte is written.

--- a/crates/cli/src/sidecar.rs
+++ b/crates/cli/src/sidecar.rs
@@ -9,6 +9,7 @@
 use sagemast_pools::file::File;
 use sagemast_sidecar::budget::Budgets;
 use sagemast_sidecar::config::Config;
+use sagemast_sidecar::console::Console;
 use sagemast_sidecar::crossing::Crossing;
 use sagemast_sidecar::front;
 use sagemast_sidecar::instance::{Control, Drain, Ended, Instance, Parts};
@@ -36,21 +37,25 @@
     // Unhandled it would end the program; so it is taken before anyone can know that the program runs.
     let mut hangup = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
     let crossing = budgets(&config)?;
+    let console = config.console.map(Console::listen).transpose()?;
     let listener = front::listen(config.listen)?;
     let address = listener.local_addr().context("the listener has no address")?;
+    let held = Budgets::of(config.connections());
     log.line(format!("listening on {address}"));
     let (instance, control) = Instance::new(Parts {
         seed: config.seed(),
         discovery: config.discovery,
         known: config.known,
         listener: Arc::new(listener),
-        budgets: Budgets::of(config.limits.connections()),
+        budgets: held,
         crossing: crossing.clone(),
         log: log.clone(),
         listening: Outlet::nowhere(),
         standby: false,
         settings: config.settings,
     });
+    let _console =
+        console.map(|listener| Console::start(listener, control.clone(), log.clone())).transpose()?;
     let mut running = tokio::spawn(instance.run());
     loop {
         tokio::select! {
--- /dev/null
+++ b/crates/cli/tests/operations.rs
@@ -0,0 +1,304 @@
+//! What operators do with a running sidecar: the console, its figures, evacuation and rejoining.
+
+mod loopback;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Child;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use loopback::*;
+
+/// A port that was free just now.
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A configuration with a console.
+fn with_console(config: &str, console: &str) -> String {
+    config.replacen('{', &format!(r#"{{"console":"{console}","#), 1)
+}
+
+/// A sidecar with a console, its discovery, and where the console is.
+fn operated(upstreams: &[&Upstream]) -> (Sidecar, Discovery, SocketAddr) {
+    let known = ready(upstreams);
+    let discovery = Discovery::new(&known);
+    let console = free();
+    let text = config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS);
+    let sidecar = Sidecar::start(&with_console(&text, &console.to_string()));
+    sidecar.wait_up();
+    (sidecar, discovery, console)
+}
+
+/// One call: status and body.
+fn call(console: SocketAddr, method: &str, path: &str) -> (u16, String) {
+    let mut client = Client::to(console);
+    client.write(format!("{method} {path} HTTP/1.1\r\nHost: console\r\n\r\n").as_bytes());
+    let answer = client.read().expect("an answer");
+    assert_eq!(answer.header("connection"), Some("close"), "one call to a connection");
+    assert_eq!(client.read_to_close().expect("a close"), b"");
+    (answer.status(), String::from_utf8(answer.body).unwrap())
+}
+
+fn figures(console: SocketAddr) -> serde_json::Value {
+    let (status, text) = call(console, "GET", "/api/telemetry");
+    assert_eq!(status, 200);
+    serde_json::from_str(&text).unwrap()
+}
+
+fn up(sidecar: &Sidecar) -> u16 {
+    Client::to(sidecar.address).get("/up").expect("an answer").status()
+}
+
+#[test]
+fn calls_are_answered_and_all_else_is_told_apart() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (_sidecar, _discovery, console) = operated(&[&upstream]);
+    assert_eq!(call(console, "GET", "/api/ready").0, 200);
+    assert_eq!(call(console, "GET", "/api/nothing").0, 404);
+    assert_eq!(call(console, "GET", "/api/evacuate").0, 405);
+    assert_eq!(call(console, "POST", "/api/telemetry").0, 405);
+    let raw = |bytes: &[u8]| {
+        let mut client = Client::to(console);
+        client.write(bytes);
+        client.read().map_or(0, |answer| answer.status())
+    };
+    assert_eq!(raw(b"\x00\x01noise\r\n\r\n"), 400);
+    let long = format!("GET /api/ready HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(64 << 10));
+    assert_eq!(raw(long.as_bytes()), 431);
+    // A body that no call needs is not waited for.
+    let waiting = b"PUT /api/rejoin HTTP/1.1\r\nHost: c\r\nContent-Length: 9\r\n\r\n";
+    assert_eq!(raw(waiting), 200);
+    let huge = b"PUT /api/rejoin HTTP/1.1\r\nHost: c\r\nContent-Length: 99999999\r\n\r\n";
+    assert_eq!(raw(huge), 413);
+    // A caller that ends its writing with its request, as some do.
+    let mut caller = TcpStream::connect(console).unwrap();
+    caller.write_all(b"GET /api/ready HTTP/1.1\r\nHost: c\r\n\r\n").unwrap();
+    caller.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+#[test]
+fn the_console_answers_beside_callers_that_say_nothing_or_half_a_call() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (_sidecar, _discovery, console) = operated(&[&upstream]);
+    let silent: Vec<TcpStream> = (0..100)
+        .map(|number| {
+            let mut stream = TcpStream::connect(console).unwrap();
+            if number % 2 == 0 {
+                stream.write_all(b"GET /api/rea").unwrap();
+            }
+            stream
+        })
+        .collect();
+    for _ in 0..20 {
+        assert_eq!(call(console, "GET", "/api/ready").0, 200);
+    }
+    drop(silent);
+}
+
+#[test]
+fn a_sidecar_without_a_list_is_not_ready() {
+    let discovery = free();
+    let console = free();
+    let text = config("127.0.0.1:0", discovery, "null", 1024, SETTINGS);
+    let _sidecar = Sidecar::start(&with_console(&text, &console.to_string()));
+    assert_eq!(call(console, "GET", "/api/ready").0, 503);
+    assert_eq!(call(console, "PUT", "/api/evacuate").0, 200);
+}
+
+#[test]
+fn the_figures_are_what_clients_and_upstreams_saw() {
+    let count = AtomicUsize::new(0);
+    let upstream = Upstream::new(move |message| match count.fetch_add(1, Ordering::SeqCst) {
+        _ if message.line.starts_with("GET") => Deed::ok("served"),
+        number if number % 3 == 0 => Deed::Answer(500, "", Vec::new()),
+        number if number % 3 == 1 => Deed::Answer(503, "X-Not-Processed: 1\r\n", Vec::new()),
+        _ => Deed::ok("served"),
+    });
+    let (sidecar, _discovery, console) = operated(&[&upstream]);
+    let zero = figures(console);
+    for class in ["fetch", "log", "bill"] {
+        assert_eq!(zero["handled"][class]["passed"], 0, "all classes are there from the start");
+    }
+    let mut seen = std::collections::BTreeMap::new();
+    for class in ["bill", "bill", "fetch", "bill", "log", "fetch", "bill"] {
+        let word = match Client::to(sidecar.address).ask(class).status() {
+            200 => "passed",
+            503 => "dropped",
+            _ => "bad_gateway",
+        };
+        *seen.entry((class, word)).or_insert(0) += 1;
+    }
+    // What is no request of a class counts nowhere.
+    Client::to(sidecar.address).get("/nothing").unwrap();
+    let got = figures(console);
+    for class in ["fetch", "log", "bill"] {
+        for word in ["passed", "dropped", "bad_gateway"] {
+            let seen = seen.get(&(class, word)).copied().unwrap_or(0);
+            assert_eq!(got["handled"][class][word], seen, "{class} {word}: {got}");
+        }
+    }
+    assert_eq!(got["upstream_tries"], upstream.requests().len());
+    assert_eq!((&got["in_progress"], &got["known_upstreams"]), (&0.into(), &1.into()));
+}
+
+#[test]
+fn what_is_open_shows_and_what_is_avoided_is_told() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let wait = go.clone();
+    let slow = Upstream::new(move |_| Deed::Wait(wait.clone()));
+    let known = list(5, true, &[entry("a", slow.address, "ready"), entry("b", slow.address, "draining")]);
+    let discovery = Discovery::new(&known);
+    let console = free();
+    let text = config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS);
+    let sidecar = Sidecar::start(&with_console(&text, &console.to_string()));
+    sidecar.wait_up();
+    let mut clients: Vec<Client> = (0..2).map(|_| Client::to(sidecar.address)).collect();
+    clients.iter_mut().for_each(|client| client.send("bill", 6_000));
+    until("all are out", || figures(console)["upstream_tries"] == 2);
+    let got = figures(console);
+    assert_eq!((&got["in_progress"], &got["known_upstreams"]), (&2.into(), &2.into()));
+    assert_eq!(got["skipped_upstreams"], 1, "one is listed as draining");
+    go.store(1, Ordering::SeqCst);
+    clients.iter_mut().for_each(|client| assert_eq!(client.read().unwrap().status(), 200));
+    until("none is open", || figures(console)["in_progress"] == 0);
+}
+
+#[test]
+fn evacuation_empties_the_sidecar_and_rejoining_fills_it_again() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let wait = go.clone();
+    let upstream = Upstream::new(move |message| match message.line.starts_with("POST /bill") {
+        true => Deed::Wait(wait.clone()),
+        false => Deed::ok("served"),
+    });
+    let (sidecar, _discovery, console) = operated(&[&upstream]);
+    // 200 clients hold idle connections, 50 are half way through a head, one waits for its answer.
+    let mut idle: Vec<Client> = (0..200).map(|_| Client::to(sidecar.address)).collect();
+    idle.iter_mut().take(50).for_each(|client| assert_eq!(client.ask("fetch").status(), 200));
+    let half: Vec<String> = (0..50).map(|_| request("fetch", 6_000)).collect();
+    let mut halves: Vec<Client> = half
+        .iter()
+        .map(|text| {
+            let mut client = Client::to(sidecar.address);
+            client.write(&text.as_bytes()[..60]);
+            client
+        })
+        .collect();
+    let mut waiting = Client::to(sidecar.address);
+    waiting.send("bill", 8_000);
+    until("it is out", || upstream.requests().iter().any(|m| m.line.starts_with("POST /bill")));
+    assert_eq!(call(console, "PUT", "/api/evacuate").0, 200);
+    assert_eq!(call(console, "PUT", "/api/evacuate").0, 200, "twice is once");
+    assert_eq!(up(&sidecar), 503, "at once");
+    assert_eq!(call(console, "GET", "/api/ready").0, 200, "the process can serve");
+    // Who has an idle connection may use it once more, and so may who comes now.
+    let last = idle[0].ask("fetch");
+    assert_eq!((last.status(), last.header("connection")), (200, Some("close")));
+    let new = Client::to(sidecar.address).ask("fetch");
+    assert_eq!((new.status(), new.header("connection")), (200, Some("close")));
+    for (half, text) in halves.iter_mut().zip(&half) {
+        half.write(&text.as_bytes()[60..]);
+        let answer = half.read().expect("what had begun is answered");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    }
+    for client in &mut idle[1..] {
+        assert_eq!(client.read_to_close().expect("idle ones are closed"), b"");
+    }
+    // What was taken gets its answer, however late.
+    go.store(1, Ordering::SeqCst);
+    let answer = waiting.read().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    let before = upstream.connections();
+    assert_eq!(call(console, "PUT", "/api/rejoin").0, 200);
+    assert_eq!(up(&sidecar), 200);
+    let mut client = Client::to(sidecar.address);
+    for _ in 0..5 {
+        assert_eq!(client.ask("fetch").header("connection"), None, "connections are kept again");
+    }
+    assert_eq!(upstream.connections(), before, "those to upstreams were kept");
+}
+
+#[test]
+fn evacuation_and_its_end_in_any_order_leave_it_as_the_last_call_says() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (mut sidecar, discovery, console) = operated(&[&upstream]);
+    assert_eq!(call(console, "PUT", "/api/rejoin").0, 200, "there is nothing to undo");
+    let mut kept = Client::to(sidecar.address);
+    assert_eq!(kept.ask("fetch").status(), 200);
+    assert_eq!(call(console, "PUT", "/api/evacuate").0, 200);
+    sidecar.signal("-HUP");
+    assert_eq!(call(console, "PUT", "/api/rejoin").0, 200, "some ms later");
+    assert_eq!(kept.ask("fetch").header("connection"), None, "it was not closed meanwhile");
+    assert_eq!(up(&sidecar), 200);
+    assert_eq!(call(console, "PUT", "/api/evacuate").0, 200);
+    sidecar.wait_log("discovery is at");
+    assert_eq!(up(&sidecar), 503, "a new configuration is no rejoining");
+    sidecar.signal("-TERM");
+    sidecar.wait_log("finishing what is held");
+    let mut said = 200;
+    // Until it ends, it is ending: no call undoes that.
+    if let Ok(mut stream) = TcpStream::connect(console) {
+        let _ = stream.write_all(b"PUT /api/rejoin HTTP/1.1\r\nHost: c\r\n\r\n");
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        said = answer.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(409);
+    }
+    assert!(sidecar.wait_exit().success());
+    assert_eq!(said, 409);
+    drop(discovery);
+}
+
+#[test]
+fn an_unsound_console_is_one_line_and_an_exit() {
+    let known = "null";
+    let text = config("127.0.0.1:7", free(), known, 1024, SETTINGS);
+    for console in ["nowhere", "127.0.0.1:7", "127.0.0.1"] {
+        let mut child = spawn(&with_console(&text, console));
+        let said = errors(&mut child);
+        assert!(!child.wait().unwrap().success());
+        assert_eq!(said.lines().count(), 1, "{said}");
+    }
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let text = config("127.0.0.1:0", free(), known, 1024, SETTINGS);
+    let mut child = spawn(&with_console(&text, &taken.local_addr().unwrap().to_string()));
+    let said = errors(&mut child);
+    assert!(!child.wait().unwrap().success());
+    assert!(said.lines().count() == 1 && said.contains("(console)"), "{said}");
+}
+
+fn errors(child: &mut Child) -> String {
+    let mut said = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut said).unwrap();
+    said
+}
+
+#[test]
+fn noise_and_every_cut_of_a_call_leave_the_console_at_work() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (_sidecar, _discovery, console) = operated(&[&upstream]);
+    let sound = b"PUT /api/rejoin HTTP/1.1\r\nHost: console\r\nContent-Length: 2\r\n\r\nok";
+    for cut in 0..=sound.len() {
+        TcpStream::connect(console).unwrap().write_all(&sound[..cut]).unwrap();
+    }
+    let mut state = 88_172_645_463_325_252_u64;
+    for length in 0..60 {
+        let noise: Vec<u8> = (0..length * 7)
+            .map(|_| {
+                state ^= state << 13;
+                state ^= state >> 7;
+                state ^= state << 17;
+                state as u8
+            })
+            .collect();
+        let _ = TcpStream::connect(console).unwrap().write_all(&noise);
+    }
+    let start = Instant::now();
+    assert_eq!(call(console, "GET", "/api/ready").0, 200);
+    assert!(start.elapsed() < Duration::from_secs(20));
+}
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -248,10 +248,11 @@
         let life = view.generation.and_then(|generation| self.lives.get(&generation));
         let generations = view.generation.iter().chain(&view.successor).chain(&view.draining);
         let lives = generations.filter_map(|generation| self.lives.get(generation));
-        let open = lives.map(|life| life.control.vitals().open()).sum();
+        let open = lives.map(|life| life.control.vitals().all().open()).sum();
         let count = |of: fn(&sagemast_sidecar::vitals::Vitals) -> &std::sync::atomic::AtomicU64| {
             life.map_or(0, |life| of(life.control.vitals()).load(Ordering::Relaxed))
         };
+        let counts = life.map(|life| life.control.vitals().all()).unwrap_or_default();
         let spec = view.spec.as_ref();
         let address = spec.and_then(|spec| self.listeners.address(&spec.place()));
         Instance {
@@ -264,11 +265,11 @@
             draining: view.draining.len(),
             worker: life.map(|life| life.worker),
             open,
-            taken: count(|vitals| &vitals.taken),
-            served: count(|vitals| &vitals.served),
-            refused: count(|vitals| &vitals.refused),
-            failed: count(|vitals| &vitals.failed),
-            left: count(|vitals| &vitals.left),
+            taken: counts.taken,
+            served: counts.served,
+            refused: counts.refused,
+            failed: counts.failed,
+            left: counts.left,
             sends: count(|vitals| &vitals.sends),
             upstreams: count(|vitals| &vitals.upstreams),
             seq: count(|vitals| &vitals.seq),
@@ -298,7 +299,7 @@
             uptime_ms: self.now(),
             phase: self.succession.phase().word().to_owned(),
             instances,
-            open: self.lives.values().map(|life| life.control.vitals().open()).sum(),
+            open: self.lives.values().map(|life| life.control.vitals().all().open()).sum(),
             workers: workers.collect(),
             memory_mb: [taken.memory_mb, budget.memory_mb],
             descriptors: [taken.descriptors, budget.descriptors],
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod brain;
 pub mod crossing;
 mod fleet;
+mod query;
 pub mod settings;
 mod state;
 
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -2,11 +2,7 @@
 //! (`benches/ordinary_path.rs`). Without the feature `calls` nothing is counted, and none of it is compiled in.
 
 use std::io;
-use std::pin::Pin;
-use std::task::{Context, Poll};
-
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use std::task::Poll;
 
 /// What was counted since the start of the process.
 #[cfg(feature = "calls")]
@@ -49,49 +45,3 @@
         counts::add(1, result.as_ref().map_or(0, |bytes| *bytes));
     }
 }
-
-/// A client's stream, counted.
-pub(crate) struct Client(pub TcpStream);
-
-impl AsyncRead for Client {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let result = Pin::new(&mut self.0).poll_read(cx, buf);
-        read(&result, buf.filled().len() - before);
-        result
-    }
-}
-
-impl AsyncWrite for Client {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.0).poll_write(cx, buf);
-        wrote(&result);
-        result
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.0).poll_write_vectored(cx, bufs);
-        wrote(&result);
-        result
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.0.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
-    }
-}
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -6,6 +6,7 @@
 use sagemast_decide::settings::Config as SettingsObject;
 use serde::Deserialize;
 
+use crate::console::{OWN_DESCRIPTORS, PLACES};
 use crate::hosts::HostList;
 
 /// The configuration file.
@@ -15,6 +16,9 @@
     pub listen: SocketAddr,
     /// Where discovery is asked.
     pub discovery: SocketAddr,
+    /// Where operators call; none where there is no such address.
+    #[serde(default)]
+    pub console: Option<SocketAddr>,
     /// For random numbers, in hexadecimal digits.
     #[serde(default)]
     pub seed: String,
@@ -81,7 +85,25 @@
         let path = std::env::var_os("ROUTER_CONFIG").context("ROUTER_CONFIG is not set")?;
         let shown = path.to_string_lossy().into_owned();
         let text = std::fs::read(&path).with_context(|| format!("cannot read {shown}"))?;
-        Config::parse(&text).with_context(|| format!("bad configuration in {shown}"))
+        let mut config = Config::parse(&text).with_context(|| format!("bad configuration in {shown}"))?;
+        if config.console.is_none() {
+            config.console = console_from_env()?;
+            if let Some(fault) = config.own_faults().into_iter().next() {
+                bail!("bad ROUTER_CONSOLE: {fault}");
+            }
+        }
+        Ok(config)
+    }
+
+    /// Descriptors that are for neither clients nor upstreams.
+    fn own_descriptors(&self) -> usize {
+        let console = if self.console.is_some() { PLACES + OWN_DESCRIPTORS } else { 0 };
+        OWN_SOCKETS + console
+    }
+
+    /// How many connections there may be on each side, so that neither descriptors nor memory run out.
+    pub fn connections(&self) -> usize {
+        self.limits.connections_beside(self.own_descriptors())
     }
 
     /// Reads and checks the text of a configuration.
@@ -106,6 +128,9 @@
         let settings = self.settings.faults().into_iter();
         let mut faults: Vec<String> =
             settings.map(|(key, fault)| format!("settings.{key}: {fault}")).collect();
+        if self.console.is_some_and(|console| console == self.listen && console.port() != 0) {
+            faults.push(format!("console: {} is where clients connect (listen)", self.listen));
+        }
         if self.limits.sockets < MIN_SOCKETS {
             let text =
                 format!("limits.sockets is {}; at least {MIN_SOCKETS} are needed", self.limits.sockets);
@@ -120,6 +145,16 @@
     }
 }
 
+/// The operators' address where the file has none.
+fn console_from_env() -> Result<Option<SocketAddr>> {
+    let Some(text) = std::env::var_os("ROUTER_CONSOLE").filter(|text| !text.is_empty()) else {
+        return Ok(None);
+    };
+    let text = text.to_string_lossy();
+    let address = text.parse().with_context(|| format!("ROUTER_CONSOLE: {text:?} is no address"))?;
+    Ok(Some(address))
+}
+
 /// A seed from its text.
 pub fn seed_of(text: &str) -> u64 {
     u64::from_str_radix(text, 16)
--- a/crates/sidecar/src/counted.rs
+++ b/crates/sidecar/src/counted.rs
@@ -4,8 +4,8 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 
 use socket2::SockRef;
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::calls;
+use crate::vitals::Vitals;
 
 /// What has crossed a connection. hyper owns the stream, so this is shared with it.
 #[derive(Default)]
@@ -25,6 +26,8 @@
     /// Whether bytes of its answer have come, and who waits for that.
     answering: AtomicBool,
     began: Notify,
+    /// At how many bytes written an attempt is whole, and where that is counted.
+    whole: Mutex<Option<(u64, Arc<Vitals>)>>,
 }
 
 impl Meter {
@@ -68,6 +71,18 @@
         self.answering.store(false, Ordering::Relaxed);
     }
 
+    /// Counts an attempt once so many bytes are written. What an earlier one left is forgotten.
+    pub fn count_at(&self, written: u64, vitals: Arc<Vitals>) {
+        *lock(&self.whole) = Some((written, vitals));
+    }
+
+    fn count_written(&self, bytes: usize) {
+        let written = self.written.fetch_add(bytes as u64, Ordering::Relaxed) + bytes as u64;
+        if let Some((_, vitals)) = lock(&self.whole).take_if(|(at, _)| *at <= written) {
+            vitals.sends.fetch_add(1, Ordering::Release);
+        }
+    }
+
     fn count_read(&self, bytes: usize) -> io::Result<()> {
         if bytes == 0 {
             return Ok(());
@@ -81,6 +96,11 @@
     }
 }
 
+/// Nothing that is held under it can panic.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A TCP stream with a meter.
 pub struct Counted {
     stream: TcpStream,
@@ -117,7 +137,7 @@
     fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         calls::wrote(&result);
         if let Poll::Ready(Ok(bytes)) = result {
-            self.meter.written.fetch_add(bytes as u64, Ordering::Relaxed);
+            self.meter.count_written(bytes);
         }
         result
     }
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -25,7 +25,7 @@
 use crate::messages::{Arrival, End, Final, Flight, Forward, FromClients, Outlet};
 use crate::servers::Servers;
 use crate::upstream::{Connection, FromUpstreams, Pool, Source, attempt, connect, probe};
-use crate::vitals::Vitals;
+use crate::vitals::{Came, Vitals};
 
 /// The module is told this much less than the client waits: its last word must reach the client in time. An
 /// answer takes a fraction of a millisecond to it; the rest is for a turn in which much else is to be done.
@@ -100,6 +100,7 @@
 /// A request without its final answer.
 struct Open {
     id: Box<str>,
+    class: ClassId,
     forward: Arc<Forward>,
     reply: oneshot::Sender<Final>,
     sends: u32,
@@ -169,6 +170,8 @@
     ids: HashSet<Box<str>>,
     sent: BTreeMap<(RequestId, AttemptNo), Sent>,
     servers: Servers,
+    /// How many of them are listed as draining.
+    draining: usize,
     timers: BTreeMap<(Instant, u64), Timer>,
     next_timer: u64,
     /// Whether a sweep is to come.
@@ -213,6 +216,7 @@
             ids: HashSet::new(),
             sent: BTreeMap::new(),
             servers: Servers::new(unix.map_or(0.0, |since| since.as_secs_f64() * 1e3)),
+            draining: 0,
             timers: BTreeMap::new(),
             next_timer: 0,
             sweeping: false,
@@ -314,13 +318,17 @@
             self.act(action);
         }
         self.actions = actions;
+        let skipped = self.module.avoided() + self.draining;
+        self.vitals.skipped.store(skipped as u64, Ordering::Relaxed);
     }
 
     fn happened(&mut self, happening: Happening) {
         match happening {
             Happening::Clients(FromClients::Arrived(arrival)) => self.arrived(*arrival),
             Happening::Clients(FromClients::Left(request)) => {
-                self.close(request);
+                if let Some(open) = self.close(request) {
+                    self.vitals.ended(open.class, Came::Left);
+                }
                 self.leave(request);
             }
             Happening::Upstreams(message) => self.heard_of_upstream(message),
@@ -386,7 +394,8 @@
         }
         let deadline = at + time_left.saturating_sub(IN_HAND);
         let timer = self.set_timer(at + time_left.saturating_sub(BACKSTOP), Timer::Backstop(request));
-        let open = Open { id, forward: Arc::new(forward), reply, sends: 0, deadline, timer };
+        self.vitals.taken(class);
+        let open = Open { id, class, forward: Arc::new(forward), reply, sends: 0, deadline, timer };
         self.open.insert(request, open);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         self.event(Event::Arrived { request, class, tenant, time_left });
@@ -416,6 +425,14 @@
     /// Answers a request, if it is still owed one.
     fn finish(&mut self, request: RequestId, answer: Final) -> bool {
         let Some(open) = self.close(request) else { return false };
+        self.vitals.ended(
+            open.class,
+            match &answer {
+                Final::Served(..) => Came::Served,
+                Final::Refused(_) => Came::Refused,
+                Final::Failed | Final::Rejected(_) => Came::Failed,
+            },
+        );
         // The client may have gone in this very moment.
         open.reply.send(answer).is_ok()
     }
@@ -532,14 +549,12 @@
         };
         let dial = self.servers.get(flight.upstream).map(|server| server.dial());
         let request = outgoing(&open.forward, dial, flight.until);
-        let body_len = open.forward.body.len();
         let (give_up, given_up) = oneshot::channel();
         if let Some(sent) = self.sent.get_mut(&key) {
             sent.give_up = Some(give_up);
         }
-        Vitals::count(&self.vitals.sends);
-        let (log, told) = (self.log.clone(), self.upstreams.clone());
-        tokio::spawn(attempt(connection, request, body_len, flight, given_up, log, told));
+        let (log, told, vitals) = (self.log.clone(), self.upstreams.clone(), self.vitals.clone());
+        tokio::spawn(attempt(connection, request, flight, given_up, log, told, vitals));
     }
 
     /// Ends an attempt that never began, after the actions at hand.
@@ -644,6 +659,7 @@
         let listings = self.servers.take(list, whole, &self.settings, now, &self.log);
         self.vitals.seq.store(self.seq, Ordering::Relaxed);
         self.vitals.upstreams.store(self.servers.count() as u64, Ordering::Relaxed);
+        self.draining = self.servers.draining();
         self.sweep_later();
         if !listings.is_empty() || (whole && !restored) {
             if !self.vitals.ready.swap(true, Ordering::Release) {
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -23,8 +23,9 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::budget::Quota;
-use crate::calls::Client;
+use crate::client::Client;
 use crate::headers::end_to_end;
+use crate::lifecycle::{Lifecycle, Stage};
 use crate::log::Log;
 use crate::messages::{Arrival, BODY_BYTES, Final, Forward, FromClients, Outlet};
 use crate::vitals::Vitals;
@@ -44,9 +45,6 @@
 /// A connection is not closed for a newcomer before it has had no request open for this long: its last answer
 /// is on its way to the client, or its first request to the sidecar.
 const SETTLED: Duration = Duration::from_millis(100);
-/// When the end begins, a connection that has carried nothing may be about to: one that is younger than this still
-/// gets an answer, so that nobody is accepted and dropped.
-const ABOUT_TO: Duration = Duration::from_millis(500);
 /// So many connections more may be closing to make room for others.
 const CLOSING: usize = 8;
 /// Ids of requests are no longer than this; they are kept while the request is open.
@@ -56,21 +54,6 @@
 /// A longer time-out is absurd.
 const MAX_TIMEOUT_MS: u64 = 600_000;
 
-/// How far the end has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// Not accepting yet: whoever comes is for a predecessor that listens on the same socket.
-    Standby,
-    /// Serving.
-    Open,
-    /// The end has begun: still accepting, but every answer closes its connection.
-    Leaving,
-    /// No client comes any more: only what is open is finished.
-    Closing,
-    /// The same, and whoever still comes is for a successor that listens on the same socket.
-    HandedOver,
-}
-
 /// What class and tenant names stand for.
 pub struct Names {
     /// By class id.
@@ -83,8 +66,8 @@
 pub struct Front {
     /// Names in requests.
     pub names: Names,
-    /// How far the end has come.
-    pub phase: watch::Receiver<Phase>,
+    /// Whether clients are wanted.
+    pub life: watch::Receiver<Lifecycle>,
     /// To the driver.
     pub told: Outlet<FromClients>,
     /// How many connections there may be.
@@ -101,14 +84,14 @@
     /// A front that has taken nothing yet.
     pub fn new(
         names: Names,
-        phase: watch::Receiver<Phase>,
+        life: watch::Receiver<Lifecycle>,
         told: Outlet<FromClients>,
         connections: Quota,
         vitals: Arc<Vitals>,
         log: Log,
     ) -> Front {
         // The module keeps timer 0 for itself and halves request ids into timers.
-        Front { names, phase, told, connections, vitals, log, next_id: AtomicU64::new(2) }
+        Front { names, life, told, connections, vitals, log, next_id: AtomicU64::new(2) }
     }
 }
 
@@ -159,15 +142,15 @@
 /// waits to be accepted any more the listener is let go and `let_go` told, however long what is open may take: who
 /// comes then is to be refused by the system, and not to wait.
 pub async fn serve(listener: Arc<TcpListener>, front: Arc<Front>, let_go: impl FnOnce()) {
-    let mut phase = front.phase.clone();
+    let mut life = front.life.clone();
     let mut slots = Slots { epoch: Instant::now(), by_task: HashMap::new() };
     let mut connections = JoinSet::new();
     let mut held = Some((listener, let_go));
     loop {
-        let now = *phase.borrow_and_update();
-        let closing = now >= Phase::Closing;
-        let accepting = held.is_some() && (Phase::Open..Phase::HandedOver).contains(&now);
-        if now == Phase::HandedOver {
+        let now = *life.borrow_and_update();
+        let (closing, handed_over) = (now.closes(), now.stage() == Stage::HandedOver);
+        let accepting = held.is_some() && now.accepts();
+        if handed_over {
             release(&mut held);
         }
         let room = front.connections.held() < front.connections.limit() + CLOSING;
@@ -202,7 +185,7 @@
             // Nobody waits: else it would have been accepted.
             () = std::future::ready(()), if closing && accepting && room => release(&mut held),
             () = std::future::ready(()), if closing && held.is_none() && connections.is_empty() => return,
-            changed = phase.changed(), if now < Phase::HandedOver => if changed.is_err() { return },
+            changed = life.changed(), if !handed_over => if changed.is_err() { return },
         }
     }
 }
@@ -234,8 +217,8 @@
 /// Serves one client connection.
 async fn connection(stream: TcpStream, front: &Arc<Front>, slot: &Slot, epoch: Instant) {
     let _ = stream.set_nodelay(true);
-    let mut phase = front.phase.clone();
-    let now = *phase.borrow_and_update();
+    let mut life = front.life.clone();
+    let now = *life.borrow_and_update();
     let heard = AtomicBool::new(false);
     let accepted = Instant::now();
     let whole_by = accepted + WHOLE;
@@ -247,7 +230,7 @@
             let mut response = handle(request, &front, slot, by).await;
             slot.free_since.store(epoch.elapsed().as_millis() as u64, Ordering::Relaxed);
             // What is left of a request that was turned away must not be read as another.
-            if response.status().is_client_error() || *front.phase.borrow() > Phase::Open {
+            if response.status().is_client_error() || front.life.borrow().answers_close() {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
@@ -255,28 +238,25 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(if now >= Phase::Closing { IDLE_AT_END } else { IDLE })
+        .header_read_timeout(if now.closes() { IDLE_AT_END } else { IDLE })
         .max_buf_size(BUFFER_BYTES)
-        .serve_connection(TokioIo::new(Client(stream)), service);
+        .serve_connection(TokioIo::new(Client::new(stream)), service);
     let mut connection = std::pin::pin!(connection);
-    let mut ends_at = None;
+    let mut ends_at = now.idle_until(accepted, false);
     loop {
         tokio::select! {
-            // First read what has come, then look at the phase: a request that waits in the socket when its
+            // First read what has come, then look at the time: a request that waits in the socket when its
             // idle connection is closed would have to be sent again.
             biased;
             // Errors here are clients that left or wrote nonsense; hyper has answered those it can.
             _ = connection.as_mut() => return,
-            changed = phase.changed() => {
-                let now = *phase.borrow_and_update();
-                // A connection that has carried nothing yet is about to: it gets its one answer while
-                // clients may still come. The others are closed as soon as they carry nothing.
-                if changed.is_err() || heard.load(Ordering::Relaxed) {
-                    connection.as_mut().graceful_shutdown();
-                } else if now >= Phase::Closing {
-                    ends_at = Some(accepted + ABOUT_TO);
-                }
+            changed = life.changed() => {
+                ends_at = match changed {
+                    Ok(()) => life.borrow_and_update().idle_until(accepted, heard.load(Ordering::Relaxed)),
+                    Err(_) => Some(accepted),
+                };
                 if changed.is_err() {
+                    connection.as_mut().graceful_shutdown();
                     let _ = connection.as_mut().await;
                     return;
                 }
@@ -306,7 +286,6 @@
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
         if !self.answered {
-            Vitals::count(&self.front.vitals.left);
             self.front.told.tell(FromClients::Left(self.request));
         }
     }
@@ -322,11 +301,12 @@
     whole_by: Instant,
 ) -> Response<Full<Bytes>> {
     if request.uri().path() == "/up" {
-        let up = front.vitals.ready.load(Ordering::Relaxed);
-        return match (request.method() == Method::GET, up) {
-            (false, _) => plain(StatusCode::METHOD_NOT_ALLOWED, "use GET"),
-            (true, true) => plain(StatusCode::OK, "up"),
-            (true, false) => plain(StatusCode::SERVICE_UNAVAILABLE, "no list of upstreams yet"),
+        let ready = front.vitals.ready.load(Ordering::Relaxed);
+        return match (request.method() == Method::GET, front.life.borrow().up(), ready) {
+            (false, ..) => plain(StatusCode::METHOD_NOT_ALLOWED, "use GET"),
+            (true, true, true) => plain(StatusCode::OK, "up"),
+            (true, true, false) => plain(StatusCode::SERVICE_UNAVAILABLE, "no list of upstreams yet"),
+            (true, false, _) => plain(StatusCode::SERVICE_UNAVAILABLE, "evacuated"),
         };
     }
     let Checked { class, tenant, time_left, id } = match check(&request, &front.names) {
@@ -351,15 +331,9 @@
     let forward = Forward { method: head.method, target, headers: end_to_end(&head.headers), body };
     let arrival = Arrival { request, class, tenant, id, at, time_left, forward, reply };
     let mut guard = Guard { request, front, answered: false };
-    Vitals::count(&front.vitals.taken);
     front.told.tell(FromClients::Arrived(Box::new(arrival)));
     let answer = answer.await;
     guard.answered = true;
-    Vitals::count(match &answer {
-        Ok(Final::Served(..)) => &front.vitals.served,
-        Ok(Final::Refused(_)) => &front.vitals.refused,
-        Ok(Final::Failed | Final::Rejected(_)) | Err(_) => &front.vitals.failed,
-    });
     match answer {
         Ok(Final::Served(headers, body)) => {
             let mut response = Response::new(Full::new(body));
--- a/crates/sidecar/src/instance.rs
+++ b/crates/sidecar/src/instance.rs
@@ -16,12 +16,15 @@
 use crate::budget::Budgets;
 use crate::crossing::Crossing;
 use crate::driver::{self, Driver, Happening, Order, Told};
-use crate::front::{self, Front, Names, Phase};
+use crate::front::{self, Front, Names};
 use crate::hosts::HostList;
+use crate::lifecycle::{Lifecycle, Wish};
 use crate::log::Log;
 use crate::messages::{Final, FromClients, Outlet};
 use crate::vitals::Vitals;
 
+pub use crate::lifecycle::Drain;
+
 /// Once the driver has failed, its open requests are answered as failed at once; a client that does not read its
 /// answer must not hold up the restart for longer than this.
 const LAST_WORDS: Duration = Duration::from_millis(500);
@@ -50,31 +53,6 @@
     pub standby: bool,
 }
 
-/// What the owner wants of it, in the order in which it may change.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Wish {
-    Standby,
-    Open,
-    Drain(Drain),
-}
-
-/// How an instance is to end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Drain {
-    /// Clients still come for this long, by connections that were on their way; then it finishes what is open.
-    Close {
-        /// For how long.
-        linger: Duration,
-        /// It ends after this long in all, whatever is open.
-        at_most: Duration,
-    },
-    /// A successor listens on the same socket: it takes no new connection from now on and finishes what is open.
-    HandOver {
-        /// It ends after this long, whatever is open.
-        at_most: Duration,
-    },
-}
-
 /// How an instance has ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Ended {
@@ -92,8 +70,8 @@
     front: Arc<Front>,
     listener: Arc<TcpListener>,
     known: Option<HostList>,
-    phase: watch::Sender<Phase>,
-    wish: watch::Receiver<Wish>,
+    life: Arc<watch::Sender<Lifecycle>>,
+    held: watch::Receiver<()>,
     telling: Outlet<Told>,
 }
 
@@ -101,7 +79,9 @@
 #[derive(Clone)]
 pub struct Control {
     happenings: mpsc::UnboundedSender<Happening>,
-    wish: Arc<watch::Sender<Wish>>,
+    life: Arc<watch::Sender<Lifecycle>>,
+    /// Dropped with the last hold.
+    _held: Arc<watch::Sender<()>>,
     vitals: Arc<Vitals>,
     longest: Duration,
 }
@@ -111,8 +91,8 @@
     pub fn new(parts: Parts) -> (Instance, Control) {
         let Parts { settings, seed, discovery, known, listener, budgets, crossing, log, listening, standby } =
             parts;
-        let vitals = Arc::new(Vitals::default());
         let names = Names { classes: settings.classes(), tenants: settings.tenant_names() };
+        let vitals = Arc::new(Vitals::new(names.classes.iter().map(|form| form.name.as_str())));
         let longest = Duration::try_from_secs_f64(settings.longest_deadline_ms() / 1e3).unwrap_or_default();
         let clients = budgets.clients.clone();
         let (driver, happenings) = Driver::new(driver::Parts {
@@ -125,62 +105,48 @@
             log: log.clone(),
             listener: listening.clone(),
         });
-        let (phase, phases) = watch::channel(if standby { Phase::Standby } else { Phase::Open });
+        let (life, lives) = watch::channel(Lifecycle::new(standby, Instant::now()));
+        let (life, (hold, held)) = (Arc::new(life), watch::channel(()));
         let told = Outlet::new(happenings.clone());
-        let front = Arc::new(Front::new(names, phases, told, clients, vitals.clone(), log));
-        let (wish, wishes) = watch::channel(if standby { Wish::Standby } else { Wish::Open });
-        let instance = Instance { driver, front, listener, known, phase, wish: wishes, telling: listening };
-        (instance, Control { happenings, wish: Arc::new(wish), vitals, longest })
+        let front = Arc::new(Front::new(names, lives, told, clients, vitals.clone(), log));
+        let instance =
+            Instance { driver, front, listener, known, life: life.clone(), held, telling: listening };
+        (instance, Control { happenings, life, _held: Arc::new(hold), vitals, longest })
     }
 
     /// Runs until it has drained or failed. When this future is dropped, everything that belongs to the instance
     /// ends with it: connections are closed as they are.
     pub async fn run(self) -> Ended {
-        let Instance { driver, front, listener, known, phase, mut wish, telling } = self;
+        let Instance { driver, front, listener, known, life, mut held, telling } = self;
         let mut driver = Part(tokio::spawn(driver.run(known)));
         let let_go = move || {
             telling.tell(Told::LetGo);
         };
         let mut serving = Part(tokio::spawn(front::serve(listener, front, let_go)));
-        // When the present stage of a drain is over, and when all of it must be.
-        let (mut linger, mut overdue): (Option<Instant>, Option<Instant>) = (None, None);
+        let mut lives = life.subscribe();
         loop {
+            let now = *lives.borrow_and_update();
             tokio::select! {
                 ended = &mut driver.0 => {
                     // Its open requests have lost their replies: they are answered as failed. Who is still to be
                     // accepted is for the successor.
-                    phase.send_replace(Phase::HandedOver);
+                    life.send_modify(|life| life.fail(Instant::now()));
                     let _ = timeout(LAST_WORDS, &mut serving.0).await;
                     return Ended::Failed(reason("the driver", ended));
                 }
                 ended = &mut serving.0 => return match ended {
-                    Ok(()) if overdue.is_some() => Ended::Drained,
+                    Ok(()) if now.ends() => Ended::Drained,
                     ended => Ended::Failed(reason("the listener", ended)),
                 },
-                changed = wish.changed() => {
-                    let now = Instant::now();
-                    match (changed, *wish.borrow_and_update()) {
-                        // Nobody holds it any more.
-                        (Err(_), _) => return Ended::Overdue,
-                        (Ok(()), Wish::Standby) => {}
-                        (Ok(()), Wish::Open) => {
-                            phase.send_replace(Phase::Open);
-                        }
-                        (Ok(()), Wish::Drain(Drain::Close { linger: still, at_most })) => {
-                            phase.send_replace(Phase::Leaving);
-                            (linger, overdue) = (Some(now + still.min(at_most)), Some(now + at_most));
-                        }
-                        (Ok(()), Wish::Drain(Drain::HandOver { at_most })) => {
-                            phase.send_replace(Phase::HandedOver);
-                            (linger, overdue) = (None, Some(overdue.unwrap_or(now + at_most)));
-                        }
+                _ = lives.changed() => {}
+                // Nobody holds it any more.
+                _ = held.changed() => return Ended::Overdue,
+                () = until(now.due()) => {
+                    if now.is_overdue(Instant::now()) {
+                        return Ended::Overdue;
                     }
+                    life.send_if_modified(|life| life.advance(Instant::now()));
                 }
-                () = until(linger) => {
-                    linger = None;
-                    phase.send_replace(Phase::Closing);
-                }
-                () = until(overdue) => return Ended::Overdue,
             }
         }
     }
@@ -203,35 +169,44 @@
 
     /// Accepts clients from now on, unless the end has begun.
     pub fn open(&self) {
-        self.wish.send_if_modified(|now| {
-            let standby = *now == Wish::Standby;
-            if standby {
-                *now = Wish::Open;
-            }
-            standby
-        });
+        self.wish(Wish::Open);
+    }
+
+    /// Sends clients away: `/up` says no, and nothing of theirs is held once it is answered.
+    pub fn evacuate(&self) {
+        self.wish(Wish::Evacuate);
+    }
+
+    /// Takes clients again. False if the end has begun.
+    pub fn rejoin(&self) -> bool {
+        self.wish(Wish::Rejoin)
     }
 
     /// Begins the end. Called again it changes nothing, but that a drain which closes the listener may become one
     /// that leaves it to a successor.
     pub fn drain(&self, how: Drain) {
-        self.wish.send_if_modified(|now| {
-            let taken = match (*now, how) {
-                (Wish::Standby | Wish::Open, _) => true,
-                (Wish::Drain(Drain::Close { .. }), Drain::HandOver { .. }) => true,
-                (Wish::Drain(_), _) => false,
-            };
-            if taken {
-                *now = Wish::Drain(how);
-            }
-            taken
-        });
+        self.wish(Wish::Drain(how));
         if matches!(how, Drain::HandOver { .. }) {
             // Both generations hold connections out of the same budget, and the successor has more use for them.
             let _ = self.happenings.send(Happening::Order(Order::Retire));
         }
     }
 
+    fn wish(&self, wish: Wish) -> bool {
+        let mut granted = false;
+        self.life.send_if_modified(|life| {
+            let before = *life;
+            granted = life.wish(wish, Instant::now());
+            *life != before
+        });
+        granted
+    }
+
+    /// Its life as it stands.
+    pub fn life(&self) -> Lifecycle {
+        *self.life.borrow()
+    }
+
     /// Tells the module how many sidecars there are from now on.
     pub fn set_sidecars(&self, count: u32) {
         let _ = self.happenings.send(Happening::Order(Order::Sidecars(count)));
@@ -273,7 +248,7 @@
 }
 
 /// The hold on a stand-in. When it is dropped, the stand-in ends as it is.
-pub struct StandInControl(watch::Sender<Phase>);
+pub struct StandInControl(watch::Sender<Lifecycle>);
 
 impl StandIn {
     /// A stand-in for an instance with these settings, and the hold on it.
@@ -292,10 +267,13 @@
             true
         });
         // Leaving: it accepts, and every answer closes its connection.
-        let (phase, phases) = watch::channel(Phase::Leaving);
-        let vitals = Arc::new(Vitals::default());
-        let front = Front::new(names, phases, refuse, budgets.clients.clone(), vitals, log);
-        (StandIn { front: Arc::new(front), listener }, StandInControl(phase))
+        let mut life = Lifecycle::new(false, Instant::now());
+        life.wish(Wish::Drain(Drain::Close { linger: FOR_GOOD, at_most: FOR_GOOD }), Instant::now());
+        let (life, lives) = watch::channel(life);
+        // What it refuses is not told of an instance.
+        let vitals = Arc::new(Vitals::new(std::iter::empty()));
+        let front = Front::new(names, lives, refuse, budgets.clients.clone(), vitals, log);
+        (StandIn { front: Arc::new(front), listener }, StandInControl(life))
     }
 
     /// Answers.
@@ -307,10 +285,19 @@
 impl StandInControl {
     /// Has it leave: the listener to a successor, or nobody's any more.
     pub fn leave(&self, handed_over: bool) {
-        self.0.send_replace(if handed_over { Phase::HandedOver } else { Phase::Closing });
+        let now = Instant::now();
+        self.0.send_modify(|life| match handed_over {
+            true => {
+                life.wish(Wish::Drain(Drain::HandOver { linger: Duration::ZERO, at_most: FOR_GOOD }), now);
+            }
+            false => drop(life.advance(now + FOR_GOOD)),
+        });
     }
 }
 
+/// A stand-in is told when to leave, and has no time of its own for it.
+const FOR_GOOD: Duration = Duration::from_secs(365 * 24 * 3_600);
+
 /// Restarts are quicker than this but for one that has failed several times in a row.
 const STAND_IN_RETRY_MS: f64 = 500.0;
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -4,7 +4,9 @@
 
 pub mod budget;
 pub mod calls;
+pub mod client;
 pub mod config;
+pub mod console;
 pub mod counted;
 pub mod crossing;
 pub mod discovery;
@@ -13,6 +15,7 @@
 pub mod headers;
 pub mod hosts;
 pub mod instance;
+pub mod lifecycle;
 pub mod lines;
 pub mod log;
 pub mod messages;
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -147,6 +147,12 @@
         self.by_id.values().filter(|server| !server.gone).count()
     }
 
+    /// How many drain.
+    pub fn draining(&self) -> usize {
+        let drains = |server: &&Server| !server.gone && server.listing.lifecycle == Lifecycle::Leaving;
+        self.by_id.values().filter(drains).count()
+    }
+
     /// Whether there is anything to sweep up: idle connections, or upstreams that are gone.
     pub fn need_sweep(&self) -> bool {
         self.by_id.values().any(|server| server.gone || !server.pool.is_empty())
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
@@ -19,6 +20,7 @@
 use crate::counted::{Counted, Meter};
 use crate::log::Log;
 use crate::messages::{Answer, BODY_BYTES, End, Flight, Outlet};
+use crate::vitals::Vitals;
 
 /// Room for a head; hyper also reads bodies through it.
 const BUFFER_BYTES: usize = 32 << 10;
@@ -99,12 +101,12 @@
 }
 
 /// The bytes that a request takes on the wire at least. Fewer written mean that its last byte was not.
-fn least_size(request: &Request<Full<Bytes>>, body: usize) -> u64 {
+fn least_size(request: &Request<Full<Bytes>>) -> u64 {
     let target = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
     let line = request.method().as_str().len() + 1 + target + " HTTP/1.1\r\n".len();
     let headers: usize =
         request.headers().iter().map(|(name, value)| name.as_str().len() + 2 + value.len() + 2).sum();
-    (line + headers + 2 + body) as u64
+    (line + headers + 2) as u64 + request.body().size_hint().lower()
 }
 
 /// Tells from its head that an answer cannot be read whole, or that two readers would differ on where it ends.
@@ -232,11 +234,11 @@
 pub async fn attempt(
     mut connection: Connection,
     request: Request<Full<Bytes>>,
-    body_len: usize,
     flight: Flight,
     mut give_up: oneshot::Receiver<()>,
     log: Log,
     told: Outlet<FromUpstreams>,
+    vitals: Arc<Vitals>,
 ) {
     // It may have been given up, or the driver may have ended, before this task had its first turn.
     if !matches!(give_up.try_recv(), Err(oneshot::error::TryRecvError::Empty)) {
@@ -245,7 +247,8 @@
     }
     let meter = connection.meter.clone();
     let before = meter.written();
-    let complete_at = before + least_size(&request, body_len);
+    let complete_at = before + least_size(&request);
+    meter.count_at(complete_at, vitals);
     let (end, keep) = {
         let exchange = exchange(&mut connection.sender, request, &meter, complete_at);
         tokio::select! {
@@ -403,7 +406,8 @@
         let (give_up, given_up) = oneshot::channel();
         drop(give_up);
         let outgoing = Request::get("/fetch").header("host", "x").body(Full::new(Bytes::new())).unwrap();
-        attempt(connection, outgoing, 0, flight, given_up, Log::process(), outlet).await;
+        let vitals = Arc::new(Vitals::new(std::iter::empty()));
+        attempt(connection, outgoing, flight, given_up, Log::process(), outlet, vitals).await;
         let messages = std::mem::take(&mut *told.lock().unwrap());
         let ends: Vec<bool> = messages
             .iter()
