The listening socket is inherited, and the old process hands over at SIGTERM

Ruled out: binding with SO_REUSEPORT, since connections in the old process's own queue would be reset with it.

--- a/crates/cli/src/sidecar.rs
+++ b/crates/cli/src/sidecar.rs
@@ -5,13 +5,16 @@
 
 use anyhow::{Context, Result, bail};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
 
 use sagemast_pools::file::File;
 use sagemast_sidecar::budget::Budgets;
 use sagemast_sidecar::config::Config;
 use sagemast_sidecar::console::Console;
 use sagemast_sidecar::crossing::Crossing;
+use sagemast_sidecar::driver::Told;
 use sagemast_sidecar::front;
+use sagemast_sidecar::inherited;
 use sagemast_sidecar::instance::{Control, Drain, Ended, Instance, Parts};
 use sagemast_sidecar::log::Log;
 use sagemast_sidecar::messages::Outlet;
@@ -21,6 +24,9 @@
 /// After the longest deadline and this, SIGKILL is close.
 const LAST_MARGIN: Duration = Duration::from_millis(640);
 
+/// Once a successor listens on the same socket, a connection with nothing open may carry one more request for this long.
+const LAST_CALL: Duration = Duration::from_secs(1);
+
 /// Runs it to its end.
 pub fn run(log: &Log) -> Result<()> {
     let config = Config::from_env()?;
@@ -38,8 +44,25 @@
     let mut hangup = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
     let crossing = budgets(&config)?;
     let console = config.console.map(Console::listen).transpose()?;
-    let listener = front::listen(config.listen)?;
+    let inherited = std::env::var_os("ROUTER_SOCKET_FD").filter(|text| !text.is_empty());
+    let listener = match &inherited {
+        Some(text) => {
+            let socket =
+                inherited::adopt(&text.to_string_lossy(), config.listen).context("bad ROUTER_SOCKET_FD")?;
+            front::listen_on(socket)?
+        }
+        None => front::listen(config.listen)?,
+    };
     let address = listener.local_addr().context("the listener has no address")?;
+    // Until it can serve, whoever comes to a socket that others listen on as well is for them.
+    let (ready, shared) = (Arc::new(Notify::new()), inherited.is_some());
+    let told_ready = ready.clone();
+    let listening = Outlet::to(move |told| {
+        if told == Told::Ready {
+            told_ready.notify_one();
+        }
+        true
+    });
     let held = Budgets::of(config.connections());
     log.line(format!("listening on {address}"));
     let (instance, control) = Instance::new(Parts {
@@ -50,8 +73,8 @@
         budgets: held,
         crossing: crossing.clone(),
         log: log.clone(),
-        listening: Outlet::nowhere(),
-        standby: false,
+        listening,
+        standby: shared,
         settings: config.settings,
     });
     let _console =
@@ -61,6 +84,10 @@
         tokio::select! {
             _ = terminate.recv() => break log.line("SIGTERM: finishing what is held"),
             _ = interrupt.recv() => break log.line("SIGINT: finishing what is held"),
+            () = ready.notified() => {
+                control.open();
+                log.line("serving");
+            }
             _ = hangup.recv() => reload(address, &control, crossing.as_ref(), log),
             // Without it nothing is answered: better to be started anew.
             ended = &mut running => match ended {
@@ -71,7 +98,10 @@
     }
     told(crossing.as_ref(), log);
     let at_most = control.longest_deadline() + LAST_MARGIN;
-    control.drain(Drain::Close { linger: STILL_COMING, at_most });
+    control.drain(match shared {
+        true => Drain::HandOver { linger: LAST_CALL, at_most },
+        false => Drain::Close { linger: STILL_COMING, at_most },
+    });
     match running.await.context("the instance has failed")? {
         Ended::Drained => Ok(()),
         Ended::Overdue => {
--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -305,10 +305,7 @@
 
 /// The same with a limit on its descriptors.
 fn spawn_with(config: &str, descriptors: Option<u32>, variables: &[(&str, &PathBuf)]) -> (Child, PathBuf) {
-    let number = FILES.fetch_add(1, Ordering::SeqCst);
-    let name = format!("sagemast-{}-{number}.json", std::process::id());
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, config).unwrap();
+    let path = written(config);
     let limit = descriptors.map_or(String::new(), |count| format!("ulimit -n {count} && "));
     let child = Command::new("sh")
         .args(["-c", &format!("{limit}exec \"$0\""), env!("CARGO_BIN_EXE_sagemast")])
@@ -322,6 +319,31 @@
     (child, path)
 }
 
+/// The program on a listening socket that the test holds, as descriptor 3.
+pub fn spawn_on(socket: &TcpListener, config: &str, variables: &[(&str, &PathBuf)]) -> (Child, PathBuf) {
+    let path = written(config);
+    let child = Command::new("sh")
+        .args(["-c", "exec 3<&0 0</dev/null; exec \"$0\"", env!("CARGO_BIN_EXE_sagemast")])
+        .env("ROUTER_CONFIG", &path)
+        .env("ROUTER_SOCKET_FD", "3")
+        .envs(variables.iter().copied())
+        .stdin(std::os::fd::OwnedFd::from(socket.try_clone().unwrap()))
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    (child, path)
+}
+
+/// A configuration in a file of its own.
+fn written(config: &str) -> PathBuf {
+    let number = FILES.fetch_add(1, Ordering::SeqCst);
+    let name = format!("sagemast-{}-{number}.json", std::process::id());
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).unwrap();
+    path
+}
+
 impl Sidecar {
     /// Starts it and waits until it listens.
     pub fn start(config: &str) -> Sidecar {
@@ -338,6 +360,12 @@
         Sidecar::started(spawn_with(config, None, variables))
     }
 
+    /// Starts it on a listening socket that the test holds, as descriptor 3, with these variables in its environment.
+    pub fn start_on(socket: &TcpListener, config: &str, variables: &[(&str, &PathBuf)]) -> Sidecar {
+        let (child, file) = spawn_on(socket, config, variables);
+        Sidecar::started((child, file))
+    }
+
     fn started((mut child, file): (Child, PathBuf)) -> Sidecar {
         let mut errors = BufReader::new(child.stderr.take().unwrap());
         let log = Arc::new(Mutex::new(Vec::new()));
--- a/crates/sidecar/src/console.rs
+++ b/crates/sidecar/src/console.rs
@@ -26,12 +26,13 @@
 
 use crate::client::Client;
 use crate::instance::Control;
+use crate::lifecycle::Stage;
 use crate::log::Log;
 use crate::vitals::Vitals;
 
 /// Callers at one time. Who comes when all places are taken gets that of the oldest caller that has not asked yet, or
 /// else of the oldest.
-pub const PLACES: usize = 16;
+pub const PLACES: usize = 10;
 /// Descriptors that a console needs beside its places: the listener and what its runtime asks the kernel with.
 pub const OWN_DESCRIPTORS: usize = 6;
 /// A caller whose head has not come whole by then is let go.
@@ -113,6 +114,8 @@
                     let asked = Arc::new(AtomicBool::new(false));
                     let end = calls.spawn(call(stream, control.clone(), asked.clone()));
                     callers.push_back(Caller { task: end.id(), end, asked });
+                    // What it has sent is read before the next can take its place.
+                    tokio::task::yield_now().await;
                 }
                 Err(_) => sleep(ACCEPT_BACK_OFF).await,
             },
@@ -161,11 +164,18 @@
         return said(StatusCode::PAYLOAD_TOO_LARGE, "this call takes no body");
     }
     match path {
-        "/api/ready" => match (control.vitals().ready.load(Ordering::Acquire), control.life().ends()) {
-            (true, false) => said(StatusCode::OK, "yes"),
-            (false, false) => said(StatusCode::SERVICE_UNAVAILABLE, "no: it has no list of upstreams yet"),
-            (_, true) => said(StatusCode::SERVICE_UNAVAILABLE, "no: it is ending"),
-        },
+        "/api/ready" => {
+            let listed = control.vitals().ready.load(Ordering::Acquire);
+            match control.life().stage() {
+                Stage::Serving | Stage::Evacuating if listed => said(StatusCode::OK, "yes"),
+                Stage::Standby | Stage::Serving | Stage::Evacuating => {
+                    said(StatusCode::SERVICE_UNAVAILABLE, "no: it has no list of upstreams yet")
+                }
+                Stage::Leaving | Stage::Closing | Stage::HandedOver => {
+                    said(StatusCode::SERVICE_UNAVAILABLE, "no: it is ending")
+                }
+            }
+        }
         "/api/telemetry" => figures(control.vitals()),
         "/api/evacuate" => {
             control.evacuate();
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -103,6 +103,11 @@
     Ok(socket.listen(BACKLOG)?)
 }
 
+/// Serves from a socket that listens already.
+pub fn listen_on(socket: std::net::TcpListener) -> Result<TcpListener> {
+    TcpListener::from_std(socket).context("the listening socket is of no use")
+}
+
 /// What `serve` knows of a connection.
 struct Slot {
     /// Since when it has had no request open, in milliseconds from its epoch; [`BUSY`] while it has one.
@@ -324,6 +329,9 @@
     };
     let at = Instant::now();
     slot.free_since.store(BUSY, Ordering::Relaxed);
+    // A process that ends has no more time than that: who comes late is answered while it lasts.
+    let ends = front.life.borrow().answer_by();
+    let time_left = ends.map_or(time_left, |ends| time_left.min(ends.saturating_duration_since(at)));
     // A client may name the whole URL; upstreams are asked for the path in any case.
     let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
     let request = RequestId(front.next_id.fetch_add(1, Ordering::Relaxed));
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod front;
 pub mod headers;
 pub mod hosts;
+pub mod inherited;
 pub mod instance;
 pub mod lifecycle;
 pub mod lines;
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -24,6 +24,9 @@
 /// gets an answer, so that nobody is accepted and dropped.
 const ABOUT_TO: Duration = Duration::from_millis(500);
 
+/// The last answers take this long to their clients.
+const LAST_ANSWERS: Duration = Duration::from_millis(40);
+
 /// What an instance does with clients.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -167,6 +170,11 @@
         self.overdue.is_some_and(|overdue| overdue <= now)
     }
 
+    /// By when whatever is taken must be answered, where there is such a time.
+    pub fn answer_by(&self) -> Option<Instant> {
+        self.overdue.map(|overdue| overdue.checked_sub(LAST_ANSWERS).unwrap_or(overdue))
+    }
+
     /// Whether the end has begun.
     pub fn ends(&self) -> bool {
         matches!(self.stage, Stage::Leaving | Stage::Closing | Stage::HandedOver)
