--- a/crates/cli/src/sidecar.rs
+++ b/crates/cli/src/sidecar.rs
@@ -63,7 +63,7 @@
         }
         true
     });
-    let held = Budgets::of(config.connections());
+    let held = Budgets::with(config.connections(), config.transfers());
     log.line(format!("listening on {address}"));
     let (instance, control) = Instance::new(Parts {
         seed: config.seed(),
--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -55,12 +55,39 @@
         let Some((name, value)) = line.trim_end().split_once(':') else { break };
         message.headers.push((name.to_owned(), value.trim().to_owned()));
     }
+    if message.header("transfer-encoding").is_some_and(|coding| coding.eq_ignore_ascii_case("chunked")) {
+        message.body = read_chunks(reader)?;
+        return Some(message);
+    }
     let length = message.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
     message.body = vec![0; length];
     reader.read_exact(&mut message.body).ok()?;
     Some(message)
 }
 
+/// A body in chunks, with what follows them; `None` if it is not whole.
+fn read_chunks(reader: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+        let size = usize::from_str_radix(line.split(';').next()?.trim(), 16).ok()?;
+        let at = body.len();
+        body.resize(at + size, 0);
+        reader.read_exact(&mut body[at..]).ok()?;
+        loop {
+            line.clear();
+            reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+            if line.trim_end().is_empty() {
+                break;
+            }
+        }
+        if size == 0 {
+            return Some(body);
+        }
+    }
+}
+
 /// What an upstream does with a request.
 #[derive(Clone)]
 pub enum Deed {
@@ -82,9 +109,17 @@
     AnswerAndClose,
     /// Answers once the test says so.
     Wait(Arc<AtomicUsize>),
+    /// Writes this and resets the connection.
+    RawAndReset(&'static [u8]),
+    /// Does this with the connection, which goes on if it says so.
+    Play(Arc<dyn Fn(&mut TcpStream) -> bool + Send + Sync>),
 }
 
 impl Deed {
+    pub fn play(what: impl Fn(&mut TcpStream) -> bool + Send + Sync + 'static) -> Deed {
+        Deed::Play(Arc::new(what))
+    }
+
     pub fn ok(body: &str) -> Deed {
         Deed::Answer(200, "", body.as_bytes().to_vec())
     }
@@ -177,6 +212,18 @@
                 std::thread::sleep(Duration::from_millis(20));
                 return drop(reader.get_ref().shutdown(Shutdown::Both));
             }
+            Deed::RawAndReset(bytes) => {
+                let _ = writer.write_all(bytes);
+                // It is read before the reset takes it away.
+                std::thread::sleep(Duration::from_millis(50));
+                let _ = rustix::net::sockopt::set_socket_linger(&writer, Some(Duration::ZERO));
+                return;
+            }
+            Deed::Play(what) => {
+                if !what(&mut writer) {
+                    return drop(reader.get_ref().shutdown(Shutdown::Both));
+                }
+            }
             Deed::Wait(go) => {
                 until("the test lets go", || go.load(Ordering::SeqCst) > 0);
                 let _ = writer.write_all(&answer(200, "", b"late"));
--- /dev/null
+++ b/crates/cli/tests/transfers.rs
@@ -0,0 +1,249 @@
+//! Bodies of any size, slow peers, and all forms of HTTP/1.1.
+
+mod loopback;
+
+use std::io::{BufRead, Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use loopback::*;
+
+/// Bytes that tell where they stand.
+fn pattern(length: usize) -> Vec<u8> {
+    (0..length).map(|at| (at % 251) as u8 ^ (at / 251) as u8).collect()
+}
+
+fn total(upstreams: &[&Upstream]) -> usize {
+    upstreams.iter().map(|upstream| upstream.requests().len()).sum()
+}
+
+#[test]
+fn a_long_answer_goes_on_with_its_first_bytes() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let wait = go.clone();
+    let body = pattern(3_000_000);
+    let sent = body.clone();
+    let upstream = Upstream::new(move |_| {
+        let (sent, wait) = (sent.clone(), wait.clone());
+        Deed::play(move |stream| {
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\nX-Note: kept\r\n\r\n", sent.len());
+            stream.write_all(head.as_bytes()).unwrap();
+            stream.write_all(&sent[..100]).unwrap();
+            until("the client has the first bytes", || wait.load(Ordering::SeqCst) > 0);
+            stream.write_all(&sent[100..]).unwrap();
+            true
+        })
+    });
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    client.send("bill", 6_000);
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        client.reader.read_exact(&mut byte).unwrap();
+        head.push(byte[0]);
+    }
+    assert!(String::from_utf8_lossy(&head).to_lowercase().contains("x-note: kept"));
+    let mut got = vec![0; 100];
+    client.reader.read_exact(&mut got).unwrap();
+    go.store(1, Ordering::SeqCst);
+    got.resize(body.len(), 0);
+    client.reader.read_exact(&mut got[100..]).unwrap();
+    assert!(got == body, "unchanged");
+    // Both connections go on.
+    assert_eq!(client.ask("bill").body.len(), body.len());
+    let connections: Vec<usize> = upstream.requests().iter().map(|message| message.connection).collect();
+    assert_eq!(connections[0], connections[1]);
+}
+
+#[test]
+fn a_long_answer_outlasts_its_requests_time_and_pauses_of_its_upstream() {
+    let body = pattern(400_000);
+    let sent = body.clone();
+    let upstream = Upstream::new(move |_| {
+        let sent = sent.clone();
+        Deed::play(move |stream| {
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", sent.len());
+            stream.write_all(head.as_bytes()).unwrap();
+            let (first, second) = sent.split_at(150_000);
+            stream.write_all(first).unwrap();
+            std::thread::sleep(Duration::from_millis(1_900));
+            stream.write_all(second).unwrap();
+            true
+        })
+    });
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    client.send("bill", 500);
+    assert!(client.read().expect("a whole answer").body == body);
+}
+
+#[test]
+fn a_long_answer_that_breaks_off_is_seen_to_be_broken_and_not_asked_for_again() {
+    for head in ["Content-Length: 300000\r\n", "Transfer-Encoding: chunked\r\n"] {
+        let upstreams = [0, 1].map(|_| {
+            Upstream::new(move |_| {
+                Deed::play(move |stream| {
+                    let begin = format!("HTTP/1.1 200 OK\r\n{head}\r\n");
+                    stream.write_all(begin.as_bytes()).unwrap();
+                    let part = vec![b'x'; 200_000];
+                    match head.starts_with('C') {
+                        true => stream.write_all(&part).unwrap(),
+                        false => {
+                            stream.write_all(b"30D40\r\n").unwrap();
+                            stream.write_all(&part).unwrap();
+                        }
+                    }
+                    false
+                })
+            })
+        });
+        let (sidecar, _discovery) = Sidecar::with(&[&upstreams[0], &upstreams[1]]);
+        let mut client = Client::to(sidecar.address);
+        client.send("fetch", 6_000);
+        assert!(client.read().is_none(), "not whole");
+        assert_eq!(total(&[&upstreams[0], &upstreams[1]]), 1);
+    }
+}
+
+#[test]
+fn answers_of_every_form_are_served() {
+    let long = pattern(100_000);
+    let chunked: Vec<u8> = long
+        .chunks(777)
+        .flat_map(|c| [format!("{:x};a=\"b\"\r\n", c.len()).as_bytes(), c, b"\r\n"].concat())
+        .collect();
+    let forms: Vec<(Vec<u8>, bool, &[u8])> = vec![
+        ([b"HTTP/1.1 200 OK\r\n\r\n", &long[..]].concat(), false, &long),
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nto the end".to_vec(), false, b"to the end"),
+        (b"HTTP/1.0 200 OK\r\n\r\nold".to_vec(), false, b"old"),
+        (
+            [
+                b"HTTP/1.1 103 Hint\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                &chunked[..],
+                b"0\r\nX-Sum: 1\r\n\r\n",
+            ]
+            .concat(),
+            true,
+            &long,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: CHUNKED\r\n\r\n5\r\nshort\r\n0\r\n\r\n".to_vec(),
+            true,
+            b"short",
+        ),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_vec(), true, b""),
+    ];
+    for (bytes, stays, body) in forms {
+        for pieces in [1, 7] {
+            let bytes = bytes.clone();
+            let upstream = Upstream::new(move |_| {
+                let bytes = bytes.clone();
+                Deed::play(move |stream| {
+                    for piece in bytes.chunks(bytes.len().div_ceil(pieces)) {
+                        stream.write_all(piece).unwrap();
+                        std::thread::sleep(Duration::from_millis(2));
+                    }
+                    stays
+                })
+            });
+            let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+            for _ in 0..2 {
+                let answer = Client::to(sidecar.address).ask("bill");
+                assert!((answer.status(), &answer.body[..]) == (200, body), "{:?}", answer.line);
+            }
+        }
+    }
+}
+
+#[test]
+fn an_answer_that_ends_with_its_connection_is_not_whole_if_that_was_reset() {
+    let upstream = Upstream::new(|_| Deed::RawAndReset(b"HTTP/1.1 200 OK\r\n\r\n"));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    assert_eq!(Client::to(sidecar.address).ask("bill").status(), 502);
+    assert_eq!(upstream.requests().len(), 1);
+}
+
+#[test]
+fn slow_heads_and_bodies_are_waited_for() {
+    let upstream = Upstream::new(|m| Deed::Answer(200, "", m.body.clone()));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let body = pattern(60_000);
+    let head = request("bill", 6_000)
+        .strip_suffix("bill")
+        .map(|head| head.replace("Content-Length: 4", "Content-Length: 60000"))
+        .unwrap();
+    let threads: Vec<_> = [2_000, 1_000]
+        .into_iter()
+        .map(|head_ms: u64| {
+            let (head, body, address) = (head.clone(), body.clone(), sidecar.address);
+            std::thread::spawn(move || {
+                let id = if head_ms > 1_500 { "aaaaaaaaaaaaaaaa" } else { "bbbbbbbbbbbbbbbb" };
+                let at = head.find("X-Request-ID: ").unwrap() + 14;
+                let head = format!("{}{id}{}", &head[..at], &head[at + 16..]);
+                let mut client = Client::to(address);
+                let pieces: Vec<&[u8]> = head.as_bytes().chunks(head.len().div_ceil(20)).collect();
+                for piece in &pieces {
+                    client.write(piece);
+                    std::thread::sleep(Duration::from_millis(head_ms / 20));
+                }
+                // At 64 kB a second, as the slowest honest one.
+                for piece in body.chunks(3_200) {
+                    client.write(piece);
+                    std::thread::sleep(Duration::from_millis(50));
+                }
+                let answer = client.read().expect("an answer");
+                assert!((answer.status(), answer.body) == (200, body));
+            })
+        })
+        .collect();
+    threads.into_iter().for_each(|thread| thread.join().unwrap());
+}
+
+#[test]
+fn who_dribbles_is_out_in_time() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let head =
+        request("bill", 6_000).replace("Content-Length: 4\r\n\r\nbill", "Content-Length: 50000\r\n\r\n");
+    for first in [head.as_bytes(), b"GET /fetch HTTP/1.1\r\nX-Long: "] {
+        let mut stream = TcpStream::connect(sidecar.address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+        let start = Instant::now();
+        stream.write_all(first).unwrap();
+        loop {
+            let mut answer = [0; 16];
+            match stream.read(&mut answer) {
+                Ok(_) => break,
+                Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => break,
+                Err(_) => {}
+            }
+            let _ = stream.write_all(b"x");
+            assert!(start.elapsed() < FOREVER, "it is never out");
+        }
+        assert!(start.elapsed() > Duration::from_secs(2), "an honest one has 2 s");
+    }
+    assert_eq!(upstream.requests().len(), 0);
+}
+
+#[test]
+fn slow_readers_of_long_answers_leave_others_alone() {
+    let upstream = Upstream::new(|message| match message.line.starts_with("POST /bill") {
+        true => Deed::Answer(200, "", vec![b'x'; 8 << 20]),
+        false => Deed::ok("served"),
+    });
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut slow: Vec<Client> = (0..6).map(|_| Client::to(sidecar.address)).collect();
+    for client in &mut slow {
+        client.send("bill", 6_000);
+        assert!(!client.reader.fill_buf().unwrap().is_empty(), "it has begun");
+    }
+    for _ in 0..100 {
+        assert_eq!(Client::to(sidecar.address).ask("fetch").status(), 200);
+    }
+    for client in &mut slow {
+        assert_eq!(client.read().expect("all of it").body.len(), 8 << 20);
+    }
+}
--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use tokio::sync::Semaphore;
+
 /// A number of things that may be held at once. The limit may change while they are held: those beyond a smaller
 /// one stay until they are let go, and until then nothing more is given.
 #[derive(Debug, Clone)]
@@ -81,14 +83,26 @@
     pub clients: Quota,
     /// Connections to upstreams.
     pub upstreams: Quota,
+    /// Bodies that pass through without being held whole, both ways.
+    pub transfers: Arc<Semaphore>,
     /// What it shares with others, if anything.
     pub shared: Option<Arc<dyn SharedConnections>>,
 }
 
 impl Budgets {
-    /// So many connections on each side, shared with nobody.
+    /// So many connections on each side, and a transfer for each, shared with nobody.
     pub fn of(connections: usize) -> Budgets {
-        Budgets { clients: Quota::new(connections), upstreams: Quota::new(connections), shared: None }
+        Budgets::with(connections, connections)
+    }
+
+    /// So many connections on each side and so many transfers, shared with nobody.
+    pub fn with(connections: usize, transfers: usize) -> Budgets {
+        Budgets {
+            clients: Quota::new(connections),
+            upstreams: Quota::new(connections),
+            transfers: Arc::new(Semaphore::new(transfers.clamp(1, Semaphore::MAX_PERMITS))),
+            shared: None,
+        }
     }
 
     /// The right to one more connection to this address.
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -8,6 +8,7 @@
 
 use crate::console::{OWN_DESCRIPTORS, PLACES};
 use crate::hosts::HostList;
+use crate::transfer::limits::TRANSFER_KIB;
 
 /// The configuration file.
 #[derive(Deserialize)]
@@ -106,6 +107,11 @@
         self.limits.connections_beside(self.own_descriptors())
     }
 
+    /// How many bodies may pass through at once that are not held whole: half of the memory is for them.
+    pub fn transfers(&self) -> usize {
+        (self.limits.memory_mb.saturating_mul(1024) / 2 / TRANSFER_KIB).max(1)
+    }
+
     /// Reads and checks the text of a configuration.
     pub fn parse(text: &[u8]) -> Result<Config> {
         let config: Config = serde_json::from_slice(text)?;
--- a/crates/sidecar/src/console.rs
+++ b/crates/sidecar/src/console.rs
@@ -28,6 +28,7 @@
 use crate::instance::Control;
 use crate::lifecycle::Stage;
 use crate::log::Log;
+use crate::slot::Slot;
 use crate::vitals::Vitals;
 
 /// Callers at one time. Who comes when all places are taken gets that of the oldest caller that has not asked yet, or
@@ -126,6 +127,7 @@
 /// Answers one call.
 async fn call(stream: TcpStream, control: Control, asked: Arc<AtomicBool>) {
     let _ = stream.set_nodelay(true);
+    let slot = Arc::new(Slot::new(tokio::time::Instant::now()));
     let service = service_fn(|request| {
         asked.store(true, Ordering::Relaxed);
         let answer = answer(&request, &control);
@@ -138,7 +140,7 @@
         .max_buf_size(HEAD_BYTES)
         .keep_alive(false)
         .half_close(true)
-        .serve_connection(TokioIo::new(Client::new(stream)), service)
+        .serve_connection(TokioIo::new(Client::new(stream, slot)), service)
         .await;
 }
 
--- a/crates/sidecar/src/counted.rs
+++ b/crates/sidecar/src/counted.rs
@@ -7,18 +7,21 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::calls;
+use crate::transfer::patience::Patience;
 use crate::vitals::Vitals;
 
 /// What has crossed a connection. hyper owns the stream, so this is shared with it.
-#[derive(Default)]
 pub struct Meter {
+    began_at: Instant,
     written: AtomicU64,
     read: AtomicU64,
     /// Whether a request has begun to be written that has no whole answer yet.
@@ -26,8 +29,32 @@
     /// Whether bytes of its answer have come, and who waits for that.
     answering: AtomicBool,
     began: Notify,
-    /// At how many bytes written an attempt is whole, and where that is counted.
-    whole: Mutex<Option<(u64, Arc<Vitals>)>>,
+    /// When bytes were last read, in microseconds from the start of the connection.
+    read_at: AtomicU64,
+    /// At how many bytes written an attempt is whole, and where that and the gaps in its answer are told.
+    attempt: Mutex<Option<Attempt>>,
+}
+
+struct Attempt {
+    complete_at: u64,
+    counted: bool,
+    vitals: Arc<Vitals>,
+    patience: Arc<Patience>,
+}
+
+impl Default for Meter {
+    fn default() -> Meter {
+        Meter {
+            began_at: Instant::now(),
+            written: AtomicU64::new(0),
+            read: AtomicU64::new(0),
+            asked: AtomicBool::new(false),
+            answering: AtomicBool::new(false),
+            began: Notify::new(),
+            read_at: AtomicU64::new(0),
+            attempt: Mutex::new(None),
+        }
+    }
 }
 
 impl Meter {
@@ -71,15 +98,23 @@
         self.answering.store(false, Ordering::Relaxed);
     }
 
-    /// Counts an attempt once so many bytes are written. What an earlier one left is forgotten.
-    pub fn count_at(&self, written: u64, vitals: Arc<Vitals>) {
-        *lock(&self.whole) = Some((written, vitals));
+    /// An attempt begins that is whole once so many bytes are written. What an earlier one left is forgotten.
+    pub fn begin_attempt(&self, complete_at: u64, vitals: &Arc<Vitals>, patience: &Arc<Patience>) {
+        let (vitals, patience) = (vitals.clone(), patience.clone());
+        *lock(&self.attempt) = Some(Attempt { complete_at, counted: false, vitals, patience });
+    }
+
+    /// When bytes were last read.
+    pub fn read_at(&self) -> Instant {
+        self.began_at + Duration::from_micros(self.read_at.load(Ordering::Relaxed))
     }
 
     fn count_written(&self, bytes: usize) {
         let written = self.written.fetch_add(bytes as u64, Ordering::Relaxed) + bytes as u64;
-        if let Some((_, vitals)) = lock(&self.whole).take_if(|(at, _)| *at <= written) {
-            vitals.sends.fetch_add(1, Ordering::Release);
+        let mut attempt = lock(&self.attempt);
+        if let Some(attempt) = attempt.as_mut().filter(|a| !a.counted && a.complete_at <= written) {
+            attempt.counted = true;
+            attempt.vitals.sends.fetch_add(1, Ordering::Release);
         }
     }
 
@@ -91,6 +126,13 @@
             return Err(io::Error::new(io::ErrorKind::InvalidData, "bytes that no request asked for"));
         }
         self.read.fetch_add(bytes as u64, Ordering::Relaxed);
+        let now = u64::try_from(self.began_at.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let before = self.read_at.swap(now, Ordering::Relaxed);
+        if self.is_answering()
+            && let Some(attempt) = lock(&self.attempt).as_ref()
+        {
+            attempt.patience.went_on(Duration::from_micros(now.saturating_sub(before)));
+        }
         self.answer_has_begun();
         Ok(())
     }
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::budget::{Budgets, Permit};
+use crate::connection::{Connection, Pool};
 use crate::crossing::Crossing;
 use crate::discovery::{AbortOnDrop, FromDiscovery, Watch};
 use crate::headers::end_to_end;
@@ -24,7 +25,7 @@
 use crate::log::Log;
 use crate::messages::{Arrival, End, Final, Flight, Forward, FromClients, Outlet};
 use crate::servers::Servers;
-use crate::upstream::{Connection, FromUpstreams, Pool, Source, attempt, connect, probe};
+use crate::upstream::{Common, FromUpstreams, Source, attempt, connect, probe};
 use crate::vitals::{Came, Vitals};
 
 /// The module is told this much less than the client waits: its last word must reach the client in time. An
@@ -169,6 +170,10 @@
     /// The ids that clients gave the open requests.
     ids: HashSet<Box<str>>,
     sent: BTreeMap<(RequestId, AttemptNo), Sent>,
+    /// Requests that have their answer, which is still passing through.
+    streams: HashMap<RequestId, ClassId>,
+    /// What attempts share.
+    common: Common,
     servers: Servers,
     /// How many of them are listed as draining.
     draining: usize,
@@ -195,6 +200,12 @@
         let (subscribed, sidecars) = (matches!(told.discovery, Discovery::Subscribed { .. }), told.sidecars);
         let mut module = Balancer::new(told, seed);
         Crossing::bring_into_force(crossing, &mut module, sidecars, 0.0);
+        let common = Common {
+            log: log.clone(),
+            vitals: vitals.clone(),
+            patience: Arc::default(),
+            transfers: budgets.transfers.clone(),
+        };
         let driver = Driver {
             subscribed,
             sidecars,
@@ -215,6 +226,8 @@
             open: HashMap::new(),
             ids: HashSet::new(),
             sent: BTreeMap::new(),
+            streams: HashMap::new(),
+            common,
             servers: Servers::new(unix.map_or(0.0, |since| since.as_secs_f64() * 1e3)),
             draining: 0,
             timers: BTreeMap::new(),
@@ -361,11 +374,16 @@
         match message {
             FromUpstreams::Connected(flight, connection) => self.connected(flight, connection),
             FromUpstreams::Ended { flight, end } => self.ended(flight, end),
+            FromUpstreams::Streamed { request, came } => {
+                if let Some(class) = self.streams.remove(&request) {
+                    self.vitals.ended(class, came);
+                }
+            }
             FromUpstreams::Idle { upstream, life, connection } => self.put_back(upstream, life, *connection),
             FromUpstreams::Probed { upstream, answer } => {
                 let answered = answer.as_ref().is_some_and(|answer| answer.status == 200);
                 let text = answer.filter(|_| answered);
-                let text = text.as_ref().and_then(|answer| std::str::from_utf8(&answer.body).ok());
+                let text = text.as_ref().and_then(|answer| std::str::from_utf8(answer.body.whole()?).ok());
                 let report = text.and_then(|text| report_from_text(&self.columns, text));
                 self.event(Event::Probed { upstream, answered, report });
             }
@@ -425,14 +443,13 @@
     /// Answers a request, if it is still owed one.
     fn finish(&mut self, request: RequestId, answer: Final) -> bool {
         let Some(open) = self.close(request) else { return false };
-        self.vitals.ended(
-            open.class,
-            match &answer {
-                Final::Served(..) => Came::Served,
-                Final::Refused(_) => Came::Refused,
-                Final::Failed | Final::Rejected(_) => Came::Failed,
-            },
-        );
+        match &answer {
+            // It is served when its last byte has passed.
+            Final::Served(_, body) if body.is_stream() => drop(self.streams.insert(request, open.class)),
+            Final::Served(..) => self.vitals.ended(open.class, Came::Served),
+            Final::Refused(_) => self.vitals.ended(open.class, Came::Refused),
+            Final::Failed | Final::Rejected(_) => self.vitals.ended(open.class, Came::Failed),
+        }
         // The client may have gone in this very moment.
         open.reply.send(answer).is_ok()
     }
@@ -553,8 +570,14 @@
         if let Some(sent) = self.sent.get_mut(&key) {
             sent.give_up = Some(give_up);
         }
-        let (log, told, vitals) = (self.log.clone(), self.upstreams.clone(), self.vitals.clone());
-        tokio::spawn(attempt(connection, request, flight, given_up, log, told, vitals));
+        tokio::spawn(attempt(
+            connection,
+            request,
+            flight,
+            given_up,
+            self.common.clone(),
+            self.upstreams.clone(),
+        ));
     }
 
     /// Ends an attempt that never began, after the actions at hand.
@@ -583,8 +606,8 @@
         });
         let now = self.millis(Instant::now());
         if let Some(plan) = self.module.cross_zone() {
-            let got = answer.as_ref().map_or(0, |answer| answer.body.len());
-            plan.ended(now, flight.request, flight.attempt, outcome, [sent.body as u64, got as u64]);
+            let got = answer.as_ref().and_then(|answer| answer.body.length()).unwrap_or(0);
+            plan.ended(now, flight.request, flight.attempt, outcome, [sent.body as u64, got]);
         }
         // The first answer goes to the client by itself and ends the request; so does one that finds fault
         // with the request itself, which other upstreams would find as well.
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -3,22 +3,22 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use sagemast_decide::api::*;
 use sagemast_decide::settings::ClassForm;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tokio::task::{Id, JoinSet};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
@@ -27,21 +27,22 @@
 use crate::headers::end_to_end;
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::log::Log;
-use crate::messages::{Arrival, BODY_BYTES, Final, Forward, FromClients, Outlet};
+use crate::messages::{Arrival, Final, Forward, FromClients, Outlet};
+use crate::slot::Slot;
+use crate::transfer::answer::Payload;
+use crate::transfer::gathered::Gathered;
+use crate::transfer::limits::{HEAD, WHOLE_BYTES, body_by};
 use crate::vitals::Vitals;
 
 /// Clients that connect while the sidecar starts or is busy wait here.
 const BACKLOG: u32 = 4096;
 /// Room for a head; hyper also reads bodies through it.
 const BUFFER_BYTES: usize = 32 << 10;
-/// A connection on which no whole head comes for this long is closed. Clients hold on to theirs for good, and
-/// one that has said nothing is owed an end within 3 s; one that has been used may be closed after 2 s.
+/// A connection on which nothing comes for this long is closed. Clients hold on to theirs for good, and one that has
+/// said nothing is owed an end within 3 s; one that has been used may be closed after 2 s.
 const IDLE: Duration = Duration::from_millis(2_200);
 /// The same once the sidecar ends and only sweeps up.
 const IDLE_AT_END: Duration = Duration::from_millis(150);
-/// A request must have come whole, head and body, this long after its connection did, or after its head on a
-/// connection that has carried others.
-const WHOLE: Duration = Duration::from_millis(2_500);
 /// A connection is not closed for a newcomer before it has had no request open for this long: its last answer
 /// is on its way to the client, or its first request to the sidecar.
 const SETTLED: Duration = Duration::from_millis(100);
@@ -108,17 +109,6 @@
     TcpListener::from_std(socket).context("the listening socket is of no use")
 }
 
-/// What `serve` knows of a connection.
-struct Slot {
-    /// Since when it has had no request open, in milliseconds from its epoch; [`BUSY`] while it has one.
-    free_since: AtomicU64,
-    /// Told to make room.
-    make_room: Notify,
-}
-
-/// The mark of a connection with an open request.
-const BUSY: u64 = u64::MAX;
-
 /// The open connections, and what is needed to choose one to close.
 struct Slots {
     epoch: Instant,
@@ -126,16 +116,12 @@
 }
 
 impl Slots {
-    fn millis(&self) -> u64 {
-        self.epoch.elapsed().as_millis() as u64
-    }
-
-    /// Has the connection closed that has longest had no request open. Which of its peers are honest a sidecar
-    /// cannot know; one that waits for an answer is never closed for another.
+    /// Has the connection closed that has longest been quiet. Which of its peers are honest a sidecar cannot
+    /// know; one that waits for an answer is never closed for another.
     fn make_room(&mut self) -> bool {
-        let settled = self.millis().saturating_sub(SETTLED.as_millis() as u64);
-        let free = self.by_task.iter().map(|(id, slot)| (slot.free_since.load(Ordering::Relaxed), *id));
-        let longest = free.filter(|(since, _)| *since <= settled).min_by_key(|(since, _)| *since);
+        let now = Instant::now();
+        let quiet = self.by_task.iter().filter_map(|(id, slot)| Some((slot.quiet_since()?, *id)));
+        let longest = quiet.filter(|(since, _)| *since + SETTLED <= now).min_by_key(|(since, _)| *since);
         let Some(slot) = longest.and_then(|(_, id)| self.by_task.remove(&id)) else { return false };
         slot.make_room.notify_one();
         true
@@ -166,12 +152,11 @@
                 Ok((stream, _)) => {
                     // Another generation may have taken the last place since: then this one is a little over.
                     let place = front.connections.take_beyond(CLOSING);
-                    let free_since = AtomicU64::new(slots.millis());
-                    let slot = Arc::new(Slot { free_since, make_room: Notify::new() });
-                    let (front, kept, epoch) = (front.clone(), slot.clone(), slots.epoch);
+                    let slot = Arc::new(Slot::new(slots.epoch));
+                    let (front, kept) = (front.clone(), slot.clone());
                     let held = front.connections.clone();
                     let task = connections.spawn(async move {
-                        connection(stream, &front, &slot, epoch).await;
+                        connection(stream, &front, &slot).await;
                         drop(place);
                     });
                     slots.by_task.insert(task.id(), kept);
@@ -220,20 +205,27 @@
 }
 
 /// Serves one client connection.
-async fn connection(stream: TcpStream, front: &Arc<Front>, slot: &Slot, epoch: Instant) {
+async fn connection(stream: TcpStream, front: &Arc<Front>, slot: &Arc<Slot>) {
     let _ = stream.set_nodelay(true);
     let mut life = front.life.clone();
     let now = *life.borrow_and_update();
-    let heard = AtomicBool::new(false);
+    let heard = AtomicU64::new(0);
     let accepted = Instant::now();
-    let whole_by = accepted + WHOLE;
+    let idle = if now.closes() { IDLE_AT_END } else { IDLE };
     let service = service_fn(|request| {
-        let first = !heard.swap(true, Ordering::Relaxed);
+        let number = heard.fetch_add(1, Ordering::Relaxed) + 1;
         let front = front.clone();
         async move {
-            let by = if first { whole_by } else { Instant::now() + WHOLE };
-            let mut response = handle(request, &front, slot, by).await;
-            slot.free_since.store(epoch.elapsed().as_millis() as u64, Ordering::Relaxed);
+            let mut response = if slot.is_doubled(number) {
+                plain(StatusCode::BAD_REQUEST, "two framings")
+            } else {
+                handle(request, &front, slot).await
+            };
+            if response.body().is_stream() {
+                response.body_mut().occupies(slot);
+            } else {
+                slot.free();
+            }
             // What is left of a request that was turned away must not be read as another.
             if response.status().is_client_error() || front.life.borrow().answers_close() {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -242,13 +234,18 @@
         }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(if now.closes() { IDLE_AT_END } else { IDLE })
         .max_buf_size(BUFFER_BYTES)
-        .serve_connection(TokioIo::new(Client::new(stream)), service);
+        .serve_connection(TokioIo::new(Client::new(stream, slot.clone())), service);
     let mut connection = std::pin::pin!(connection);
     let mut ends_at = now.idle_until(accepted, false);
+    let mut ending = false;
     loop {
+        // By when something must have come. Looked at anew when it is due: what comes meanwhile only puts it off.
+        let due = match (slot.quiet_since(), slot.head_since()) {
+            (None, _) => Instant::now() + idle,
+            (Some(_), Some(began)) => began + HEAD,
+            (Some(quiet), None) => quiet + idle,
+        };
         tokio::select! {
             // First read what has come, then look at the time: a request that waits in the socket when its
             // idle connection is closed would have to be sent again.
@@ -257,7 +254,7 @@
             _ = connection.as_mut() => return,
             changed = life.changed() => {
                 ends_at = match changed {
-                    Ok(()) => life.borrow_and_update().idle_until(accepted, heard.load(Ordering::Relaxed)),
+                    Ok(()) => life.borrow_and_update().idle_until(accepted, heard.load(Ordering::Relaxed) > 0),
                     Err(_) => Some(accepted),
                 };
                 if changed.is_err() {
@@ -270,9 +267,21 @@
                 ends_at = None;
                 connection.as_mut().graceful_shutdown();
             }
+            () = sleep_until(due), if !ending => match (slot.quiet_since(), slot.head_since()) {
+                (None, _) => {}
+                (Some(_), Some(began)) if began + HEAD > Instant::now() => {}
+                // Nobody knows what it would have asked for.
+                (Some(_), Some(_)) => return,
+                (Some(quiet), None) if quiet + idle > Instant::now() => {}
+                // In the middle of a body it has a time of its own.
+                (Some(_), None) => {
+                    ending = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            },
             () = slot.make_room.notified() => {
                 // A request may have come in this very moment: it is answered first.
-                if slot.free_since.load(Ordering::Relaxed) != BUSY {
+                if !slot.is_busy() {
                     return;
                 }
                 connection.as_mut().graceful_shutdown();
@@ -299,12 +308,7 @@
 /// What is wrong with a request.
 type Malformed = (StatusCode, &'static str);
 
-async fn handle(
-    request: Request<Incoming>,
-    front: &Front,
-    slot: &Slot,
-    whole_by: Instant,
-) -> Response<Full<Bytes>> {
+async fn handle(request: Request<Incoming>, front: &Front, slot: &Slot) -> Response<Payload> {
     if request.uri().path() == "/up" {
         let ready = front.vitals.ready.load(Ordering::Relaxed);
         return match (request.method() == Method::GET, front.life.borrow().up(), ready) {
@@ -319,16 +323,12 @@
         Err((status, reason)) => return plain(status, reason),
     };
     let (head, body) = request.into_parts();
-    let body = match timeout_at(whole_by, Limited::new(body, BODY_BYTES).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
-        }
-        Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body is broken"),
-        Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come"),
+    let body = match whole(body).await {
+        Ok(body) => body,
+        Err((status, reason)) => return plain(status, reason),
     };
     let at = Instant::now();
-    slot.free_since.store(BUSY, Ordering::Relaxed);
+    slot.busy();
     // A process that ends has no more time than that: who comes late is answered while it lasts.
     let ends = front.life.borrow().answer_by();
     let time_left = ends.map_or(time_left, |ends| time_left.min(ends.saturating_duration_since(at)));
@@ -344,7 +344,7 @@
     guard.answered = true;
     match answer {
         Ok(Final::Served(headers, body)) => {
-            let mut response = Response::new(Full::new(body));
+            let mut response = Response::new(body);
             *response.headers_mut() = headers;
             response
         }
@@ -361,6 +361,29 @@
     }
 }
 
+/// Reads a body whole, as long as it keeps the least rate.
+async fn whole(mut body: Incoming) -> Result<Bytes, Malformed> {
+    let mut gathered = Gathered::default();
+    let (began, stated) = (Instant::now(), body.size_hint().exact());
+    while !body.is_end_stream() {
+        match timeout_at(body_by(began, gathered.length() as u64), body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                // Trailers end with the connection that they came on.
+                if let Ok(data) = frame.into_data() {
+                    gathered.add(data, stated);
+                }
+            }
+            Ok(Some(Err(_))) => return Err((StatusCode::BAD_REQUEST, "the body is broken")),
+            Ok(None) => break,
+            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come")),
+        }
+        if gathered.length() > WHOLE_BYTES {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"));
+        }
+    }
+    Ok(gathered.take())
+}
+
 /// What the head of a sound request says.
 struct Checked {
     class: ClassId,
@@ -381,16 +404,11 @@
         return Err(bad("the path is not plain text"));
     }
     let headers = request.headers();
-    // Clients send a length. Where a second framing stands beside it two readers may differ on where the body
-    // ends, and hyper drops a length that follows the other: so either alone is turned away.
-    if headers.contains_key(header::TRANSFER_ENCODING) {
-        return Err((StatusCode::LENGTH_REQUIRED, "Content-Length is missing"));
-    }
     let length = match single(headers, "content-length")? {
         Some(text) => number(text).ok_or(bad("Content-Length is not a number"))?,
         None => 0,
     };
-    if length > BODY_BYTES as u64 {
+    if length > WHOLE_BYTES as u64 {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"));
     }
     match single(headers, "x-priority-class")? {
@@ -401,7 +419,9 @@
     let key = single(headers, "idempotency-key")?;
     let form = &names.classes[class];
     match (request.method(), form.effect) {
-        (&Method::GET, Effect::Repeatable) if length > 0 => return Err(bad("GET has no body")),
+        (&Method::GET, Effect::Repeatable) if !request.body().is_end_stream() => {
+            return Err(bad("GET has no body"));
+        }
         (&Method::GET, Effect::Repeatable) => {}
         (&Method::PUT, Effect::Repeatable) if form.put => {}
         // Without its key upstreams could not drop a repeat.
@@ -445,8 +465,8 @@
     }
 }
 
-fn plain(status: StatusCode, reason: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(reason.as_bytes())));
+fn plain(status: StatusCode, reason: &'static str) -> Response<Payload> {
+    let mut response = Response::new(Payload::Whole(Bytes::from_static(reason.as_bytes())));
     *response.status_mut() = status;
     response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -9,8 +9,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-/// Bodies hold at most this much, both ways.
-pub const BODY_BYTES: usize = 64 << 10;
+use crate::transfer::answer::Payload;
 
 /// Where a part tells what happened, without knowing who listens or what else they hear.
 pub struct Outlet<T>(Arc<dyn Fn(T) -> bool + Send + Sync>);
@@ -80,7 +79,7 @@
 #[derive(Debug)]
 pub enum Final {
     /// An upstream's answer.
-    Served(HeaderMap, Bytes),
+    Served(HeaderMap, Payload),
     /// Trying again is harmless, best after this long.
     Refused(Millis),
     /// No promise.
@@ -112,7 +111,7 @@
     pub until: Instant,
 }
 
-/// An upstream's answer, read whole.
+/// An upstream's answer.
 #[derive(Debug)]
 pub struct Answer {
     /// Its status.
@@ -120,7 +119,7 @@
     /// Its headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Payload,
 }
 
 /// What an attempt came to.
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -6,9 +6,9 @@
 use sagemast_decide::api::*;
 use sagemast_decide::settings::Config as SettingsObject;
 
+use crate::connection::Pool;
 use crate::hosts::{Health, Host, HostList};
 use crate::log::Log;
-use crate::upstream::Pool;
 
 /// An upstream that discovery named.
 pub struct Server {
--- /dev/null
+++ b/crates/sidecar/src/slot.rs
@@ -0,0 +1,98 @@
+//! What is known of one client connection by those who look at it from outside: since when it has been quiet, and whether
+//! its client is in the middle of a head.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use tokio::sync::Notify;
+use tokio::time::{Duration, Instant};
+
+/// The mark of a connection with an open request.
+const BUSY: u64 = u64::MAX;
+/// The mark of no time.
+const NEVER: u64 = u64::MAX;
+
+/// One client connection. Times are milliseconds from the epoch of all of them.
+#[derive(Debug)]
+pub struct Slot {
+    epoch: Instant,
+    /// Since when nothing has come and no request has been open; [`BUSY`] while one is.
+    quiet_since: AtomicU64,
+    /// When the head that is under way began.
+    head_since: AtomicU64,
+    /// The number of the first request that was framed in two ways.
+    doubled: AtomicU64,
+    /// Told to make room.
+    pub make_room: Notify,
+}
+
+impl Slot {
+    /// A connection that has just been accepted.
+    pub fn new(epoch: Instant) -> Slot {
+        let slot = Slot {
+            epoch,
+            quiet_since: AtomicU64::new(0),
+            head_since: AtomicU64::new(NEVER),
+            doubled: AtomicU64::new(0),
+            make_room: Notify::new(),
+        };
+        slot.free();
+        slot
+    }
+
+    fn now(&self) -> u64 {
+        u64::try_from(self.epoch.elapsed().as_millis()).unwrap_or(NEVER - 1)
+    }
+
+    fn at(&self, millis: u64) -> Instant {
+        self.epoch + Duration::from_millis(millis)
+    }
+
+    /// A request is open from now on.
+    pub fn busy(&self) {
+        self.quiet_since.store(BUSY, Ordering::Relaxed);
+    }
+
+    /// None is open from now on.
+    pub fn free(&self) {
+        self.quiet_since.store(self.now(), Ordering::Relaxed);
+    }
+
+    /// Whether one is open.
+    pub fn is_busy(&self) -> bool {
+        self.quiet_since.load(Ordering::Relaxed) == BUSY
+    }
+
+    /// Bytes have come; whether the client is in the middle of a head now, and the number of the first request that was
+    /// framed in two ways.
+    pub fn came(&self, in_head: bool, doubled: Option<u64>) {
+        let now = self.now();
+        if !in_head {
+            self.head_since.store(NEVER, Ordering::Relaxed);
+        } else if self.head_since.load(Ordering::Relaxed) == NEVER {
+            self.head_since.store(now, Ordering::Relaxed);
+        }
+        if let Some(number) = doubled {
+            self.doubled.store(number, Ordering::Relaxed);
+        }
+        if !self.is_busy() {
+            self.quiet_since.store(now, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether the request of that number, from 1, was framed in two ways.
+    pub fn is_doubled(&self, number: u64) -> bool {
+        self.doubled.load(Ordering::Relaxed) == number
+    }
+
+    /// Since when it has been quiet; `None` while a request is open.
+    pub fn quiet_since(&self) -> Option<Instant> {
+        let since = self.quiet_since.load(Ordering::Relaxed);
+        (since != BUSY).then(|| self.at(since))
+    }
+
+    /// When the head that is under way began, if one is.
+    pub fn head_since(&self) -> Option<Instant> {
+        let since = self.head_since.load(Ordering::Relaxed);
+        (since != NEVER).then(|| self.at(since))
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/transfer/answer.rs
@@ -0,0 +1,242 @@
+//! An answer's body on its way to a client: held whole, or pulled piece by piece out of the upstream's connection by the
+//! client's.
+
+use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+use super::limits::{MOST_BYTES, STILL};
+use crate::connection::Connection;
+use crate::slot::Slot;
+use crate::vitals::Came;
+
+/// An answer's body.
+#[derive(Debug)]
+pub enum Payload {
+    /// All of it.
+    Whole(Bytes),
+    /// As it comes.
+    Stream(Box<Stream>),
+}
+
+impl Payload {
+    /// How long it is, where that is known.
+    pub fn length(&self) -> Option<u64> {
+        match self {
+            Payload::Whole(bytes) => u64::try_from(bytes.len()).ok(),
+            Payload::Stream(stream) => stream.length,
+        }
+    }
+
+    /// Its bytes, if it is held whole.
+    pub fn whole(&self) -> Option<&Bytes> {
+        match self {
+            Payload::Whole(bytes) => Some(bytes),
+            Payload::Stream(_) => None,
+        }
+    }
+
+    /// Keeps a client's connection from counting as free until it is through.
+    pub fn occupies(&mut self, slot: &Arc<Slot>) {
+        if let Payload::Stream(stream) = self {
+            stream.slot = Some(slot.clone());
+        }
+    }
+
+    /// Whether it is a stream.
+    pub fn is_stream(&self) -> bool {
+        matches!(self, Payload::Stream(_))
+    }
+}
+
+/// Why a body ended before its end. What it says goes nowhere: hyper ends the client's connection.
+#[derive(Debug, thiserror::Error)]
+pub enum Torn {
+    /// The upstream's connection broke, or its framing did.
+    #[error("the upstream broke off: {0}")]
+    Upstream(#[from] hyper::Error),
+    /// Nothing came for too long.
+    #[error("the upstream stopped")]
+    Still,
+    /// It went on beyond what any answer holds.
+    #[error("the answer is too long")]
+    TooLong,
+}
+
+/// Told how a stream has ended, with its connection if that can be used again.
+pub type End = Box<dyn FnOnce(Came, Option<Connection>) + Send>;
+
+/// An answer that goes on as it comes. Its end is told when it is dropped, whole or not.
+pub struct Stream {
+    first: Option<Bytes>,
+    rest: Incoming,
+    /// As the upstream stated it.
+    length: Option<u64>,
+    passed: u64,
+    connection: Option<Connection>,
+    end: Option<End>,
+    still: Pin<Box<Sleep>>,
+    ended: bool,
+    torn: bool,
+    slot: Option<Arc<Slot>>,
+    _room: OwnedSemaphorePermit,
+}
+
+/// What a stream is made of.
+pub struct Parts {
+    /// Bytes that have been read already.
+    pub first: Bytes,
+    /// Where the others come from.
+    pub rest: Incoming,
+    /// How many there are in all, if the upstream has stated it.
+    pub length: Option<u64>,
+    /// The connection that they come on.
+    pub connection: Connection,
+    /// Called at its end.
+    pub end: End,
+    /// The room that it takes.
+    pub room: OwnedSemaphorePermit,
+}
+
+impl Stream {
+    /// One that has just begun.
+    pub fn new(parts: Parts) -> Stream {
+        let Parts { first, rest, length, connection, end, room } = parts;
+        Stream {
+            first: Some(first).filter(|first| !first.is_empty()),
+            rest,
+            length,
+            passed: 0,
+            connection: Some(connection),
+            end: Some(end),
+            still: Box::pin(sleep_until(Instant::now() + STILL)),
+            ended: false,
+            torn: false,
+            slot: None,
+            _room: room,
+        }
+    }
+
+    fn pass(&mut self, data: Bytes) -> Poll<Option<Result<Frame<Bytes>, Torn>>> {
+        self.passed = self.passed.saturating_add(data.len() as u64);
+        if self.passed > MOST_BYTES {
+            return self.tear(Torn::TooLong);
+        }
+        self.still.as_mut().reset(Instant::now() + STILL);
+        Poll::Ready(Some(Ok(Frame::data(data))))
+    }
+
+    fn tear(&mut self, why: Torn) -> Poll<Option<Result<Frame<Bytes>, Torn>>> {
+        self.torn = true;
+        Poll::Ready(Some(Err(why)))
+    }
+
+    fn is_whole(&self) -> bool {
+        !self.torn && (self.ended || self.length == Some(self.passed))
+    }
+}
+
+impl Body for Stream {
+    type Data = Bytes;
+    type Error = Torn;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Torn>>> {
+        let this = &mut *self;
+        if let Some(first) = this.first.take() {
+            return this.pass(first);
+        }
+        loop {
+            match Pin::new(&mut this.rest).poll_frame(cx) {
+                // Trailers end with the connection that they came on.
+                Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) if data.is_empty() => {}
+                    Ok(data) => return this.pass(data),
+                    Err(_) => {}
+                },
+                Poll::Ready(Some(Err(error))) => return this.tear(Torn::Upstream(error)),
+                Poll::Ready(None) => {
+                    this.ended = true;
+                    return Poll::Ready(None);
+                }
+                Poll::Pending if this.still.as_mut().poll(cx).is_ready() => return this.tear(Torn::Still),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_none() && self.length == Some(self.passed)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.length
+            .map_or_else(SizeHint::default, |length| SizeHint::with_exact(length.saturating_sub(self.passed)))
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        let whole = self.is_whole();
+        let came = match (whole, self.torn) {
+            (true, _) => Came::Served,
+            (false, true) => Came::Failed,
+            (false, false) => Came::Left,
+        };
+        if let Some(slot) = self.slot.take() {
+            slot.free();
+        }
+        // One that is not whole is closed as it is.
+        let connection = self.connection.take().filter(|_| whole);
+        if let Some(connection) = &connection {
+            connection.meter.answered();
+        }
+        if let Some(end) = self.end.take() {
+            end(came, connection);
+        }
+    }
+}
+
+impl fmt::Debug for Stream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Stream({} of {:?} bytes)", self.passed, self.length)
+    }
+}
+
+impl Body for Payload {
+    type Data = Bytes;
+    type Error = Torn;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Torn>>> {
+        match &mut *self {
+            Payload::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Payload::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Payload::Stream(stream) => Pin::new(&mut **stream).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Payload::Whole(bytes) => bytes.is_empty(),
+            Payload::Stream(stream) => stream.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Payload::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Payload::Stream(stream) => stream.size_hint(),
+        }
+    }
+}
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -1,94 +1,29 @@
-//! Connections to upstreams, and the one exchange at a time that each carries: attempts and probes.
+//! The one exchange at a time that a connection to an upstream carries: attempts and probes.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Body;
-use hyper::client::conn::http1::{self, SendRequest};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::SendRequest;
+use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode, header};
-use hyper_util::rt::TokioIo;
 use sagemast_decide::api::*;
-use tokio::net::TcpStream;
-use tokio::sync::oneshot;
-use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tokio::runtime::Handle;
+use tokio::sync::{Semaphore, oneshot};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::budget::Permit;
-use crate::counted::{Counted, Meter};
+use crate::connection::Connection;
+use crate::counted::Meter;
 use crate::log::Log;
-use crate::messages::{Answer, BODY_BYTES, End, Flight, Outlet};
-use crate::vitals::Vitals;
-
-/// Room for a head; hyper also reads bodies through it.
-const BUFFER_BYTES: usize = 32 << 10;
-/// Once an answer has begun, its bytes follow each other: it is small and made before it is sent. When none has
-/// come in two such spans in a row, what is missing is not on its way.
-const STALL: Duration = Duration::from_millis(15);
-/// How long a connection may take to become ready for the next request once an answer was read.
-const SETTLE: Duration = Duration::from_millis(100);
-
-/// An open connection. It is closed when this is dropped; [`Connection::close`] waits until it is.
-pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    task: JoinHandle<()>,
-    meter: Arc<Meter>,
-    /// Whether it has carried a request before.
-    pub used: bool,
-    /// Since when it has carried nothing.
-    pub idle_since: Instant,
-    _permit: Permit,
-}
-
-impl Connection {
-    /// Connects by `until`.
-    pub async fn open(dial: SocketAddr, until: Instant, permit: Permit) -> Result<Connection, String> {
-        let stream = timeout_at(until, TcpStream::connect(dial))
-            .await
-            .map_err(|_| "connecting took too long".to_owned())?
-            .map_err(|error| format!("cannot connect: {error}"))?;
-        // Without it the kernel may hold back a small request.
-        stream.set_nodelay(true).map_err(|error| error.to_string())?;
-        let (counted, meter) = Counted::new(stream);
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(BUFFER_BYTES)
-            .handshake(TokioIo::new(counted))
-            .await
-            .map_err(|error| error.to_string())?;
-        let task = tokio::spawn(async move {
-            // How an exchange failed shows at the exchange.
-            let _ = connection.await;
-        });
-        Ok(Connection { sender, task, meter, used: false, idle_since: Instant::now(), _permit: permit })
-    }
-
-    /// Whether it can take a request now, as far as this side knows.
-    pub fn is_usable(&self) -> bool {
-        self.sender.is_ready()
-    }
-
-    /// Closes it; when this returns, the socket is closed.
-    pub async fn close(mut self) {
-        self.task.abort();
-        let _ = (&mut self.task).await;
-    }
-
-    /// Waits until the next request can be sent. `None` if the upstream closes it.
-    async fn settle(mut self) -> Option<Connection> {
-        timeout(SETTLE, self.sender.ready()).await.ok()?.ok()?;
-        self.used = true;
-        self.idle_since = Instant::now();
-        Some(self)
-    }
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
+use crate::messages::{Answer, End, Flight, Outlet};
+use crate::transfer::answer::{self, Payload, Stream};
+use crate::transfer::gathered::Gathered;
+use crate::transfer::limits::{self, COMING, Plan, WHOLE_BYTES};
+use crate::transfer::patience::Patience;
+use crate::vitals::{Came, Vitals};
 
 /// Why there is no answer.
 enum Broken {
@@ -112,60 +47,96 @@
 /// Tells from its head that an answer cannot be read whole, or that two readers would differ on where it ends.
 fn unfit(head: &hyper::http::response::Parts) -> Option<&'static str> {
     let headers = &head.headers;
-    let length = headers.get(header::CONTENT_LENGTH);
-    match (head.status, length, headers.contains_key(header::TRANSFER_ENCODING)) {
-        (StatusCode::SWITCHING_PROTOCOLS, ..) => Some("an answer that leaves HTTP"),
-        (_, Some(_), true) => Some("an answer with two framings"),
-        // It ends with the connection: nothing tells a whole one from one that broke off.
-        (StatusCode::OK, None, false) => Some("an answer of no stated length"),
-        (_, Some(length), false) if length.to_str().ok().and_then(|l| l.parse().ok()) > Some(BODY_BYTES) => {
-            Some("an answer that is too long")
-        }
+    let length = headers.contains_key(header::CONTENT_LENGTH);
+    match (head.status, length && headers.contains_key(header::TRANSFER_ENCODING)) {
+        (StatusCode::SWITCHING_PROTOCOLS, _) => Some("an answer that leaves HTTP"),
+        (_, true) => Some("an answer with two framings"),
         _ => None,
     }
 }
 
-/// Sends a request once and reads its answer whole.
+/// What has come of an answer.
+enum Got {
+    /// All of it.
+    Whole(Answer),
+    /// Its head and first bytes; it goes on as it comes.
+    Begun { head: hyper::http::response::Parts, first: Bytes, rest: Incoming, length: Option<u64> },
+    /// Its head; what follows is of no use to anyone.
+    Head(Answer),
+}
+
+/// Sends a request once and reads its answer: whole, or until it may go on as it comes.
 async fn exchange(
     sender: &mut SendRequest<Full<Bytes>>,
     mut request: Request<Full<Bytes>>,
     meter: &Arc<Meter>,
     complete_at: u64,
-) -> Result<Answer, Broken> {
+) -> Result<Got, Broken> {
     let broken = || if meter.written() < complete_at { Broken::Unsent } else { Broken::Cut };
     let notices = meter.clone();
     hyper::ext::on_informational(&mut request, move |_| notices.answer_is_to_come());
     let response = sender.send_request(request).await.map_err(|_| broken())?;
     meter.answer_has_begun();
-    let (head, body): (_, hyper::body::Incoming) = Response::into_parts(response);
+    let (head, mut body): (_, Incoming) = Response::into_parts(response);
     if let Some(reason) = unfit(&head) {
         return Err(Broken::Unfit(reason));
     }
-    match Limited::new(body, BODY_BYTES).collect().await {
-        Ok(body) => {
-            meter.answered();
-            Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
+    let length = body.size_hint().exact();
+    let served = head.status == StatusCode::OK;
+    let (plan, coming) = match limits::plan(length) {
+        Plan::TooLong if served => return Err(Broken::Unfit("an answer that is too long")),
+        // What it says beside its status goes to nobody.
+        Plan::TooLong | Plan::Stream if !served => {
+            let Parts { status, headers, .. } = head;
+            return Ok(Got::Head(Answer { status, headers, body: Payload::Whole(Bytes::new()) }));
+        }
+        plan => (plan, Instant::now() + COMING),
+    };
+    let mut gathered = Gathered::default();
+    loop {
+        let frame = body.frame().await;
+        match frame {
+            None => {
+                meter.answered();
+                let (Parts { status, headers, .. }, body) = (head, Payload::Whole(gathered.take()));
+                return Ok(Got::Whole(Answer { status, headers, body }));
+            }
+            Some(Ok(frame)) => {
+                // Trailers end with the connection that they came on.
+                if let Ok(data) = frame.into_data() {
+                    gathered.add(data, length);
+                }
+            }
+            Some(Err(_)) => return Err(broken()),
+        }
+        let long = gathered.length() > WHOLE_BYTES;
+        match plan {
+            Plan::Wait if long && !served => {
+                let Parts { status, headers, .. } = head;
+                return Ok(Got::Head(Answer { status, headers, body: Payload::Whole(Bytes::new()) }));
+            }
+            // What comes no further is waited for in vain: only one that still comes goes on.
+            Plan::Wait if long || (served && Instant::now() >= coming) => break,
+            Plan::Stream => break,
+            _ => {}
         }
-        Err(error) if error.is::<LengthLimitError>() => Err(Broken::Unfit("an answer that is too long")),
-        Err(_) => Err(broken()),
     }
+    Ok(Got::Begun { head, first: gathered.take(), rest: body, length })
 }
 
-/// Comes back when an answer that has begun comes no further.
-async fn stalled(meter: &Meter) {
+/// Comes back when an answer that has begun comes no further for longer than is worth waiting.
+async fn stalled(meter: &Meter, patience: &Patience) {
     loop {
         meter.answer_began().await;
-        let mut still = 0;
-        let mut read = meter.read();
-        while still < 2 {
-            sleep(STALL).await;
-            let now = meter.read();
-            (still, read) = if now == read { (still + 1, read) } else { (0, now) };
-        }
-        // A notice ahead of the answer may have ended meanwhile.
-        if meter.is_answering() {
-            return;
+        let limit = patience.limit();
+        while meter.is_answering() {
+            let until = meter.read_at() + limit;
+            if until <= Instant::now() {
+                return;
+            }
+            sleep_until(until).await;
         }
+        // A notice ahead of the answer has ended meanwhile.
     }
 }
 
@@ -196,6 +167,13 @@
         /// How.
         end: End,
     },
+    /// An answer that went on as it came has ended.
+    Streamed {
+        /// Whose.
+        request: RequestId,
+        /// How.
+        came: Came,
+    },
     /// A connection is free.
     Idle {
         /// To whom.
@@ -230,15 +208,27 @@
     told.tell(FromUpstreams::Connected(flight, result.map(Box::new)));
 }
 
+/// What all attempts of an instance share.
+#[derive(Clone)]
+pub struct Common {
+    /// Where they log.
+    pub log: Log,
+    /// Where those that were written whole are counted.
+    pub vitals: Arc<Vitals>,
+    /// How long answers that stop are waited for.
+    pub patience: Arc<Patience>,
+    /// Room for answers that go on as they come.
+    pub transfers: Arc<Semaphore>,
+}
+
 /// Carries one attempt over a connection until it ends, its time is up or `give_up` is dropped or used.
 pub async fn attempt(
     mut connection: Connection,
     request: Request<Full<Bytes>>,
     flight: Flight,
     mut give_up: oneshot::Receiver<()>,
-    log: Log,
+    common: Common,
     told: Outlet<FromUpstreams>,
-    vitals: Arc<Vitals>,
 ) {
     // It may have been given up, or the driver may have ended, before this task had its first turn.
     if !matches!(give_up.try_recv(), Err(oneshot::error::TryRecvError::Empty)) {
@@ -248,23 +238,55 @@
     let meter = connection.meter.clone();
     let before = meter.written();
     let complete_at = before + least_size(&request);
-    meter.count_at(complete_at, vitals);
+    meter.begin_attempt(complete_at, &common.vitals, &common.patience);
     let (end, keep) = {
-        let exchange = exchange(&mut connection.sender, request, &meter, complete_at);
+        let exchange = async {
+            let got = exchange(&mut connection.sender, request, &meter, complete_at).await?;
+            // Room for what goes on as it comes; until there is some it waits with its upstream.
+            let room = match &got {
+                Got::Begun { .. } => common.transfers.clone().acquire_owned().await.ok(),
+                Got::Whole(_) | Got::Head(_) => None,
+            };
+            Ok((got, room))
+        };
         tokio::select! {
             biased;
             result = exchange => match result {
-                Ok(answer) => (End::Outcome(outcome_of(&answer), Some(answer)), true),
+                Ok((Got::Whole(answer), _)) => {
+                    common.patience.whole();
+                    (End::Outcome(outcome_of(&answer), Some(answer)), true)
+                }
+                Ok((Got::Head(answer), _)) => (End::Outcome(outcome_of(&answer), Some(answer)), false),
+                Ok((Got::Begun { head, first, rest, length }, Some(room))) => {
+                    let streamed = told.clone();
+                    let end = Box::new(move |came, connection: Option<Connection>| {
+                        streamed.tell(FromUpstreams::Streamed { request: flight.request, came });
+                        // Outside a runtime nobody could use it again.
+                        if let (Some(connection), Ok(runtime)) = (connection, Handle::try_current()) {
+                            runtime.spawn(async move {
+                                let connection = connection.settle().await;
+                                give_back(connection, flight.upstream, flight.life, &streamed);
+                            });
+                        }
+                    });
+                    let parts = answer::Parts { first, rest, length, connection, end, room };
+                    let body = Payload::Stream(Box::new(Stream::new(parts)));
+                    let answer = Answer { status: head.status, headers: head.headers, body };
+                    let end = End::Outcome(Outcome::Ok, Some(answer));
+                    told.tell(FromUpstreams::Ended { flight, end });
+                    return;
+                }
+                Ok((Got::Begun { .. }, None)) => (End::Outcome(Outcome::Error, None), false),
                 Err(Broken::Unsent) if connection.used && meter.written() == before => (End::Stale, false),
                 Err(Broken::Unsent) => (End::Outcome(Outcome::Unreachable, None), false),
                 Err(Broken::Cut) => (End::Outcome(Outcome::Reset, None), false),
                 Err(Broken::Unfit(reason)) => {
-                    log.line(format!("upstream {}: {reason}", flight.upstream.0));
+                    common.log.line(format!("upstream {}: {reason}", flight.upstream.0));
                     (End::Outcome(Outcome::Error, None), false)
                 }
             },
-            () = stalled(&meter) => {
-                log.line(format!("upstream {}: an answer that does not end", flight.upstream.0));
+            () = stalled(&meter, &common.patience) => {
+                common.log.line(format!("upstream {}: an answer that does not end", flight.upstream.0));
                 (End::Outcome(Outcome::Error, None), false)
             }
             _ = give_up => (End::Outcome(Outcome::Cancelled, None), false),
@@ -305,7 +327,7 @@
     if let Ok(mut connection) = opened {
         let meter = connection.meter.clone();
         let result = timeout_at(until, exchange(&mut connection.sender, request, &meter, 0)).await;
-        if let Ok(Ok(got)) = result {
+        if let Ok(Ok(Got::Whole(got))) = result {
             answer = Some(got);
             told.tell(FromUpstreams::Probed { upstream, answer });
             return give_back(connection.settle().await, upstream, life, &told);
@@ -329,59 +351,10 @@
     Dial(SocketAddr, Instant, Permit),
 }
 
-/// The idle connections to one upstream, the latest used last.
-#[derive(Default)]
-pub struct Pool {
-    idle: Vec<Connection>,
-}
-
-impl Pool {
-    /// Takes the one used last, so that the others can grow old and close.
-    pub fn take(&mut self, idle_limit: Duration) -> Option<Connection> {
-        while let Some(connection) = self.idle.pop() {
-            if connection.is_usable() && connection.idle_since.elapsed() < idle_limit {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    /// Takes one back.
-    pub fn put(&mut self, connection: Connection) {
-        self.idle.push(connection);
-    }
-
-    /// Closes those that were closed by the upstream or have been idle for too long.
-    pub fn sweep(&mut self, idle_limit: Duration) {
-        self.idle.retain(|c| c.is_usable() && c.idle_since.elapsed() < idle_limit);
-    }
-
-    /// Since when the one longest idle has been so.
-    pub fn oldest(&self) -> Option<Instant> {
-        self.idle.first().map(|connection| connection.idle_since)
-    }
-
-    /// Closes the one longest idle.
-    pub fn drop_oldest(&mut self) {
-        if !self.idle.is_empty() {
-            self.idle.remove(0);
-        }
-    }
-
-    /// Closes all.
-    pub fn clear(&mut self) {
-        self.idle.clear();
-    }
-
-    /// Whether there are none.
-    pub fn is_empty(&self) -> bool {
-        self.idle.is_empty()
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use std::sync::Mutex;
+    use std::time::Duration;
 
     use tokio::io::AsyncReadExt;
 
@@ -406,8 +379,13 @@
         let (give_up, given_up) = oneshot::channel();
         drop(give_up);
         let outgoing = Request::get("/fetch").header("host", "x").body(Full::new(Bytes::new())).unwrap();
-        let vitals = Arc::new(Vitals::new(std::iter::empty()));
-        attempt(connection, outgoing, flight, given_up, Log::process(), outlet, vitals).await;
+        let common = Common {
+            log: Log::process(),
+            vitals: Arc::new(Vitals::new(std::iter::empty())),
+            patience: Arc::default(),
+            transfers: Arc::new(Semaphore::new(1)),
+        };
+        attempt(connection, outgoing, flight, given_up, common, outlet).await;
         let messages = std::mem::take(&mut *told.lock().unwrap());
         let ends: Vec<bool> = messages
             .iter()
