Uploads over 64 KiB go to their upstream while they arrive

They are streamed now with backpressure; what can be sent again is decided by what was taken from the client. The module hears that a body is still coming (no load, no hanging server, no time of the request's) by one event, with its code outside the policy files.

--- a/crates/cli/tests/transfers.rs
+++ b/crates/cli/tests/transfers.rs
@@ -247,3 +247,219 @@
         assert_eq!(client.read().expect("all of it").body.len(), 8 << 20);
     }
 }
+
+/// The head of a request with a body of this length, or in chunks.
+fn upload_head(class: &str, length: Option<usize>) -> String {
+    let framing = match length {
+        Some(length) => format!("Content-Length: {length}"),
+        None => "Transfer-Encoding: chunked".to_owned(),
+    };
+    let text = request(class, 6_000);
+    let end = text.find("\r\n\r\n").unwrap();
+    let head: Vec<&str> =
+        text[..end].split("\r\n").filter(|line| !line.starts_with("Content-Length")).collect();
+    format!("{}\r\n{framing}\r\n\r\n", head.join("\r\n"))
+}
+
+fn chunked(body: &[u8], size: usize) -> Vec<u8> {
+    let chunk = |c: &[u8]| [format!("{:X};x=y\r\n", c.len()).as_bytes(), c, b"\r\n"].concat();
+    let chunks: Vec<u8> = body.chunks(size).flat_map(chunk).collect();
+    [&chunks[..], b"0\r\nX-Sum: 7\r\n\r\n"].concat()
+}
+
+#[test]
+fn long_uploads_of_every_form_come_unchanged() {
+    let upstream = Upstream::new(|m| Deed::Answer(200, "", m.body.clone()));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let body = pattern(3_000_001);
+    for class in ["bill", "log"] {
+        let mut client = Client::to(sidecar.address);
+        client.write(upload_head(class, Some(body.len())).as_bytes());
+        client.write(&body);
+        let answer = client.read().expect("an answer");
+        assert!((answer.status(), &answer.body) == (200, &body), "{}", answer.line);
+        // On the same connection, in chunks.
+        client.write(upload_head(class, None).as_bytes());
+        client.write(&chunked(&body, 9_999));
+        let answer = client.read().expect("an answer");
+        assert!((answer.status(), &answer.body) == (200, &body), "{}", answer.line);
+        // Short ones in chunks are held whole.
+        client.write(upload_head(class, None).as_bytes());
+        client.write(&chunked(b"short", 2));
+        assert_eq!(client.read().expect("an answer").body, b"short");
+        assert_eq!(client.ask("fetch").status(), 200);
+    }
+    assert_eq!(upstream.requests().len(), 8);
+}
+
+#[test]
+fn an_upload_reaches_its_upstream_while_it_arrives() {
+    let seen = Arc::new(AtomicUsize::new(0));
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let count = seen.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let count = count.clone();
+            std::thread::spawn(move || {
+                let mut buffer = vec![0; 64 << 10];
+                while let Ok(got) = stream.read(&mut buffer) {
+                    if got == 0 {
+                        return;
+                    }
+                    if count.fetch_add(got, Ordering::SeqCst) + got > 500_000 {
+                        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                    }
+                }
+            });
+        }
+    });
+    let known = list(5, true, &[entry("a", address, "ready")]);
+    let discovery = Discovery::new(&known);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS));
+    sidecar.wait_up();
+    let mut client = Client::to(sidecar.address);
+    client.write(upload_head("bill", Some(500_000)).as_bytes());
+    client.write(&pattern(200_000));
+    until("the upstream has what has come", || seen.load(Ordering::SeqCst) > 190_000);
+    client.write(&pattern(300_000));
+    assert_eq!(client.read().expect("an answer").body, b"ok");
+}
+
+#[test]
+fn uploads_over_the_limit_are_told_at_once() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    client.write(upload_head("bill", Some((32 << 20) + 1)).as_bytes());
+    assert_eq!(client.read().expect("before its bytes").status(), 413);
+    // In chunks it shows when they have come.
+    let mut client = Client::to(sidecar.address);
+    client.write(upload_head("bill", None).as_bytes());
+    let chunk = [b"100000\r\n", &vec![b'x'; 1 << 20][..], b"\r\n"].concat();
+    for _ in 0..33 {
+        if client.reader.get_mut().write_all(&chunk).is_err() {
+            break;
+        }
+    }
+    let answer = client.read();
+    assert!(answer.is_none_or(|answer| answer.status() == 413));
+    assert_eq!(upstream.requests().len(), 0, "none came whole");
+    assert_eq!(Client::to(sidecar.address).ask("bill").status(), 200);
+}
+
+#[test]
+fn an_upload_whose_body_is_kept_goes_to_another_and_one_that_has_gone_does_not() {
+    // Nobody listens at the first: nothing was taken from the client but what is kept.
+    let dead = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let upstream = Upstream::new(|m| Deed::Answer(200, "", m.body.clone()));
+    let known = list(5, true, &[entry("a", upstream.address, "ready"), entry("b", dead, "ready")]);
+    let discovery = Discovery::new(&known);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS));
+    sidecar.wait_up();
+    let body = pattern(300_000);
+    for _ in 0..8 {
+        let mut client = Client::to(sidecar.address);
+        client.write(upload_head("bill", Some(body.len())).as_bytes());
+        client.write(&body);
+        let answer = client.read().expect("an answer");
+        assert!((answer.status(), &answer.body) == (200, &body), "{}", answer.line);
+    }
+    // Turned away unseen after all of it has gone: it did not run, and that is what the client is told.
+    let away = [0, 1].map(|_| Upstream::new(|_| Deed::Answer(503, "X-Not-Processed: 1\r\n", vec![])));
+    let (sidecar, _discovery) = Sidecar::with(&[&away[0], &away[1]]);
+    let mut client = Client::to(sidecar.address);
+    client.write(upload_head("bill", Some(body.len())).as_bytes());
+    client.write(&body);
+    assert_eq!(client.read().expect("an answer").status(), 503);
+    assert_eq!(total(&[&away[0], &away[1]]), 1);
+    // One that may have run is not called a refusal.
+    let closes = Upstream::new(|_| Deed::Close);
+    let (sidecar, _discovery) = Sidecar::with(&[&closes]);
+    let mut client = Client::to(sidecar.address);
+    client.write(upload_head("bill", None).as_bytes());
+    client.write(&chunked(&body, 30_000));
+    assert_eq!(client.read().expect("an answer").status(), 502);
+    assert_eq!(closes.requests().len(), 1);
+}
+
+#[test]
+fn an_upload_that_stops_or_whose_client_leaves_never_runs() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let body = pattern(300_000);
+    let mut stops = Client::to(sidecar.address);
+    stops.write(upload_head("bill", Some(body.len())).as_bytes());
+    stops.write(&body[..299_999]);
+    let answer = stops.read();
+    assert!(answer.as_ref().is_none_or(|answer| answer.status() == 408), "{answer:?}");
+    for cut in [70_000, 299_999] {
+        let mut leaves = Client::to(sidecar.address);
+        leaves.write(upload_head("bill", Some(body.len())).as_bytes());
+        leaves.write(&body[..cut]);
+        drop(leaves);
+    }
+    assert_eq!(upstream.requests().len(), 0);
+    until("they stand in nobody's way", || Client::to(sidecar.address).ask("bill").status() == 200);
+    assert_eq!(upstream.requests().len(), 1);
+}
+
+#[test]
+fn a_slow_upload_outlasts_its_requests_time() {
+    let upstream = Upstream::new(|m| Deed::Answer(200, "", m.body.clone()));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let body = pattern(192_000);
+    let mut client = Client::to(sidecar.address);
+    client.write(
+        upload_head("bill", Some(body.len())).replace("X-Timeout-Ms: 6000", "X-Timeout-Ms: 400").as_bytes(),
+    );
+    // 64 kB a second.
+    for piece in body.chunks(6_400) {
+        client.write(piece);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let answer = client.read().expect("an answer");
+    assert!((answer.status(), &answer.body) == (200, &body), "{}", answer.line);
+}
+
+#[test]
+fn who_expects_to_be_told_to_go_on_is_told() {
+    let upstream = Upstream::new(|m| Deed::Answer(200, "", m.body.clone()));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    for length in [10, 200_000] {
+        let body = pattern(length);
+        let head = upload_head("bill", Some(length)).replace("\r\n\r\n", "\r\nExpect: 100-continue\r\n\r\n");
+        let mut client = Client::to(sidecar.address);
+        client.write(head.as_bytes());
+        assert_eq!(client.read().expect("a notice").status(), 100);
+        client.write(&body);
+        assert!(client.read().expect("an answer").body == body);
+    }
+    assert!(upstream.requests().iter().all(|message| message.header("expect").is_none()));
+}
+
+#[test]
+fn pipelined_requests_and_http_1_0_are_served() {
+    let upstream = Upstream::new(|m| Deed::Answer(200, "", m.line.clone().into_bytes()));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    let body = pattern(100_000);
+    let three = [
+        upload_head("bill", Some(body.len())).as_bytes(),
+        &body,
+        request("fetch", 6_000).as_bytes(),
+        upload_head("log", None).as_bytes(),
+        &chunked(&body, 5_000),
+    ]
+    .concat();
+    client.write(&three);
+    for begins in ["POST /bill", "GET /fetch", "POST /log"] {
+        let answer = client.read().expect("an answer");
+        assert!(answer.body.starts_with(begins.as_bytes()), "{begins}");
+    }
+    let mut client = Client::to(sidecar.address);
+    client.write(request("fetch", 6_000).replace("HTTP/1.1", "HTTP/1.0").as_bytes());
+    let mut answer = String::new();
+    client.reader.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.0 200 OK") && answer.contains("GET /fetch"), "{answer}");
+}
--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -268,6 +268,16 @@
     },
     /// An attempt ended; each [`Action::Send`] gets this once.
     Finished(Finished),
+    /// The body of an attempt that is out is still coming from its client, or its last byte is out now. Until then a
+    /// server has not begun with it, and a request's times count from there.
+    Upload {
+        /// The request.
+        request: RequestId,
+        /// Which of its sends.
+        attempt: AttemptNo,
+        /// Whether it is still coming.
+        coming: bool,
+    },
     /// The client left; nothing more is owed.
     Abandoned(RequestId),
     /// A probe came back.
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -13,11 +13,10 @@
 use crate::crossing::{Attempt, CrossZone};
 use crate::fleet::{Fleet, Looks, Reach, Slot};
 use crate::state::*;
+use crate::upload::Uploads;
 
-/// Times below are for a mean service time of up to this; where it is longer so are they, within a bound.
-/// They
-/// are no shorter for faster servers: a probe is not free, and servers take their means over a time that we
-/// are not told.
+/// Times below are for a mean service time of up to this; longer where it is longer, within a bound; and no
+/// shorter for faster servers: probes cost, and servers take their means over a time that we are not told.
 const USUAL_SERVICE: Millis = 40.0;
 const MOST_SCALE: f64 = 25.0;
 /// A report older than this is renewed when its server is drawn: about one service time.
@@ -43,9 +42,8 @@
 const SATURATED: f64 = 0.9;
 /// A rising κ is believed this much slower.
 const RISE: f64 = 0.1;
-/// Below this reported utilisation in-flight / utilisation is mostly rounding, but what is in flight over
-/// this
-/// bounds κ from below.
+/// Below this reported utilisation in-flight / utilisation is mostly rounding, but in-flight over this bounds
+/// κ from below.
 const UTILISATION_FLOOR: f64 = 0.1;
 /// Weight of a new sample in the slowness and the failure rate of one server.
 const SMOOTH: f64 = 0.15;
@@ -109,11 +107,12 @@
     pub(crate) now: Millis,
     /// What limits traffic that leaves the zone, if anything does.
     pub(crate) cross: Option<Box<dyn CrossZone>>,
-    requests: FxHashMap<RequestId, Held>,
+    pub(crate) requests: FxHashMap<RequestId, Held>,
     pub(crate) upstreams: Fleet,
     /// Sends that have not ended: their number in the books of their server. And the next number.
-    sends: FxHashMap<(RequestId, AttemptNo), (u64, UpstreamId)>,
-    next_send: u64,
+    pub(crate) sends: FxHashMap<(RequestId, AttemptNo), (u64, UpstreamId)>,
+    pub(crate) next_send: u64,
+    pub(crate) uploads: Uploads,
     /// Which requests wait for a server's probe.
     waiting: BTreeSet<(UpstreamId, RequestId)>,
     seen: Learnt,
@@ -134,6 +133,7 @@
             upstreams: Fleet::default(),
             sends: FxHashMap::default(),
             next_send: 1,
+            uploads: Uploads::default(),
             waiting: BTreeSet::new(),
             seen,
         }
@@ -152,7 +152,9 @@
             Event::Arrived { request, class, tenant, time_left } => {
                 self.arrived(request, Held::new(class, tenant, self.now, time_left.max(0.0)), out)
             }
+            Event::Upload { request, attempt, coming } => self.upload(request, attempt, coming),
             Event::Finished(end) => {
+                self.upload(end.request, end.attempt, false);
                 self.settle(end, out);
                 self.finished(end, out);
             }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,5 +8,6 @@
 mod query;
 pub mod settings;
 mod state;
+mod upload;
 
 pub use brain::Balancer;
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -59,8 +59,7 @@
 }
 
 /// Sends in the order of their numbers. Those that have ended stay as gaps until all before them have ended,
-/// which
-/// the longest deadline bounds.
+/// which the longest deadline bounds.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Sends {
     queue: VecDeque<(u64, Option<Outstanding>)>,
--- a/crates/model/src/policy/mod.rs
+++ b/crates/model/src/policy/mod.rs
@@ -262,7 +262,7 @@
                 self.held.remove(&request);
             }
             Event::Listed(news) => self.listed(news),
-            Event::Probed { .. } | Event::Sidecars(_) | Event::Woke(_) => {}
+            Event::Upload { .. } | Event::Probed { .. } | Event::Sidecars(_) | Event::Woke(_) => {}
         }
     }
 
--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -4,8 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -14,6 +12,7 @@
 
 use crate::budget::Permit;
 use crate::counted::{Counted, Meter};
+use crate::transfer::outgoing::Outgoing;
 
 /// Room for a head; hyper also reads bodies through it.
 const BUFFER_BYTES: usize = 32 << 10;
@@ -23,7 +22,7 @@
 /// An open connection. It is closed when this is dropped; [`Connection::close`] waits until it is.
 pub struct Connection {
     /// Where requests go in.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<Outgoing>,
     task: JoinHandle<()>,
     /// What has crossed it.
     pub meter: Arc<Meter>,
--- a/crates/sidecar/src/counted.rs
+++ b/crates/sidecar/src/counted.rs
@@ -13,9 +13,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, Sleep, sleep};
 
 use crate::calls;
+use crate::transfer::limits::STILL;
 use crate::transfer::patience::Patience;
 use crate::vitals::Vitals;
 
@@ -31,15 +32,18 @@
     began: Notify,
     /// When bytes were last read, in microseconds from the start of the connection.
     read_at: AtomicU64,
-    /// At how many bytes written an attempt is whole, and where that and the gaps in its answer are told.
-    attempt: Mutex<Option<Attempt>>,
+    /// The exchange under way.
+    exchange: Mutex<Exchange>,
 }
 
-struct Attempt {
-    complete_at: u64,
+/// What is known of the exchange under way.
+#[derive(Default)]
+struct Exchange {
+    /// At how many bytes written its request is whole, once that is known.
+    complete_at: Option<u64>,
     counted: bool,
-    vitals: Arc<Vitals>,
-    patience: Arc<Patience>,
+    /// Where an attempt is counted and the gaps in its answer are told; a probe is neither.
+    told: Option<(Arc<Vitals>, Arc<Patience>)>,
 }
 
 impl Default for Meter {
@@ -52,7 +56,7 @@
             answering: AtomicBool::new(false),
             began: Notify::new(),
             read_at: AtomicU64::new(0),
-            attempt: Mutex::new(None),
+            exchange: Mutex::default(),
         }
     }
 }
@@ -98,10 +102,20 @@
         self.answering.store(false, Ordering::Relaxed);
     }
 
-    /// An attempt begins that is whole once so many bytes are written. What an earlier one left is forgotten.
-    pub fn begin_attempt(&self, complete_at: u64, vitals: &Arc<Vitals>, patience: &Arc<Patience>) {
-        let (vitals, patience) = (vitals.clone(), patience.clone());
-        *lock(&self.attempt) = Some(Attempt { complete_at, counted: false, vitals, patience });
+    /// An exchange begins. What an earlier one left is forgotten.
+    pub fn begin(&self, told: Option<(Arc<Vitals>, Arc<Patience>)>) {
+        *lock(&self.exchange) = Exchange { complete_at: None, counted: false, told };
+    }
+
+    /// Its request is whole once so many bytes are written on this connection.
+    pub fn complete_at(&self, written: u64) {
+        lock(&self.exchange).complete_at = Some(written);
+        self.count_written(0);
+    }
+
+    /// Whether its request has been written whole.
+    pub fn is_complete(&self) -> bool {
+        lock(&self.exchange).complete_at.is_some_and(|at| at <= self.written())
     }
 
     /// When bytes were last read.
@@ -111,10 +125,12 @@
 
     fn count_written(&self, bytes: usize) {
         let written = self.written.fetch_add(bytes as u64, Ordering::Relaxed) + bytes as u64;
-        let mut attempt = lock(&self.attempt);
-        if let Some(attempt) = attempt.as_mut().filter(|a| !a.counted && a.complete_at <= written) {
-            attempt.counted = true;
-            attempt.vitals.sends.fetch_add(1, Ordering::Release);
+        let mut exchange = lock(&self.exchange);
+        if !exchange.counted && exchange.complete_at.is_some_and(|at| at <= written) {
+            exchange.counted = true;
+            if let Some((vitals, _)) = &exchange.told {
+                vitals.sends.fetch_add(1, Ordering::Release);
+            }
         }
     }
 
@@ -129,9 +145,9 @@
         let now = u64::try_from(self.began_at.elapsed().as_micros()).unwrap_or(u64::MAX);
         let before = self.read_at.swap(now, Ordering::Relaxed);
         if self.is_answering()
-            && let Some(attempt) = lock(&self.attempt).as_ref()
+            && let Some((_, patience)) = &lock(&self.exchange).told
         {
-            attempt.patience.went_on(Duration::from_micros(now.saturating_sub(before)));
+            patience.went_on(Duration::from_micros(now.saturating_sub(before)));
         }
         self.answer_has_begun();
         Ok(())
@@ -147,13 +163,15 @@
 pub struct Counted {
     stream: TcpStream,
     meter: Arc<Meter>,
+    /// Since when the upstream has taken nothing of what waits for it.
+    stuck: Option<Pin<Box<Sleep>>>,
 }
 
 impl Counted {
     /// Wraps a stream; the counts start at 0.
     pub fn new(stream: TcpStream) -> (Counted, Arc<Meter>) {
         let meter = Arc::new(Meter::default());
-        (Counted { stream, meter: meter.clone() }, meter)
+        (Counted { stream, meter: meter.clone(), stuck: None }, meter)
     }
 
     /// Before the first byte of a request goes out: bytes that wait in the socket now would be read as its
@@ -176,12 +194,21 @@
         }
     }
 
-    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    /// Ends with an error when the upstream has taken nothing for too long.
+    fn count(&mut self, cx: &mut Context<'_>, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         calls::wrote(&result);
         if let Poll::Ready(Ok(bytes)) = result {
             self.meter.count_written(bytes);
         }
-        result
+        if result.is_ready() {
+            self.stuck = None;
+            return result;
+        }
+        let stuck = self.stuck.get_or_insert_with(|| Box::pin(sleep(STILL)));
+        match stuck.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
     }
 }
 
@@ -203,7 +230,7 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.begin()?;
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.count(result)
+        self.count(cx, result)
     }
 
     fn poll_write_vectored(
@@ -213,7 +240,7 @@
     ) -> Poll<io::Result<usize>> {
         self.begin()?;
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.count(result)
+        self.count(cx, result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -6,14 +6,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use sagemast_decide::Balancer;
 use sagemast_decide::api::*;
 use sagemast_decide::settings::{Column, Config as SettingsObject, report_from_text};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
 use crate::budget::{Budgets, Permit};
@@ -22,9 +20,12 @@
 use crate::discovery::{AbortOnDrop, FromDiscovery, Watch};
 use crate::headers::end_to_end;
 use crate::hosts::HostList;
+use crate::lifecycle;
 use crate::log::Log;
 use crate::messages::{Arrival, End, Final, Flight, Forward, FromClients, Outlet};
 use crate::servers::Servers;
+use crate::transfer::outgoing::Outgoing;
+use crate::transfer::upload::Fate;
 use crate::upstream::{Common, FromUpstreams, Source, attempt, connect, probe};
 use crate::vitals::{Came, Vitals};
 
@@ -94,8 +95,8 @@
     at: Instant,
     /// Dropped or used to give it up; `None` once that was done.
     give_up: Option<oneshot::Sender<()>>,
-    /// Bytes of its body.
-    body: usize,
+    /// Bytes of its body, as far as they are known.
+    body: u64,
 }
 
 /// A request without its final answer.
@@ -106,7 +107,10 @@
     reply: oneshot::Sender<Final>,
     sends: u32,
     deadline: Instant,
-    timer: (Instant, u64),
+    /// How long its client waits, from its last byte on.
+    time_left: Duration,
+    /// Set once its last byte has come, and with that it is taken.
+    timer: Option<(Instant, u64)>,
 }
 
 enum Timer {
@@ -144,6 +148,8 @@
     pub log: Log,
     /// Whom it tells how it fares.
     pub listener: Outlet<Told>,
+    /// How long it may go on.
+    pub life: watch::Receiver<lifecycle::Lifecycle>,
 }
 
 /// The driver.
@@ -157,6 +163,7 @@
     log: Log,
     budgets: Budgets,
     listener: Outlet<Told>,
+    life: watch::Receiver<lifecycle::Lifecycle>,
     inbox: mpsc::UnboundedReceiver<Happening>,
     upstreams: Outlet<FromUpstreams>,
     news: Outlet<FromDiscovery>,
@@ -190,7 +197,7 @@
 impl Driver {
     /// A driver that knows the settings and nothing else, and the channel that leads to it.
     pub fn new(parts: Parts) -> (Driver, mpsc::UnboundedSender<Happening>) {
-        let Parts { settings, seed, discovery, budgets, crossing, vitals, log, listener } = parts;
+        let Parts { settings, seed, discovery, budgets, crossing, vitals, log, listener, life } = parts;
         let (happenings, inbox) = mpsc::unbounded_channel();
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let mut told = settings.settings();
@@ -215,6 +222,7 @@
             log,
             budgets,
             listener,
+            life,
             inbox,
             upstreams: Outlet::new(happenings.clone()),
             news: Outlet::new(happenings.clone()),
@@ -339,7 +347,7 @@
         match happening {
             Happening::Clients(FromClients::Arrived(arrival)) => self.arrived(*arrival),
             Happening::Clients(FromClients::Left(request)) => {
-                if let Some(open) = self.close(request) {
+                if let Some(open) = self.close(request).filter(|open| open.timer.is_some()) {
                     self.vitals.ended(open.class, Came::Left);
                 }
                 self.leave(request);
@@ -374,6 +382,7 @@
         match message {
             FromUpstreams::Connected(flight, connection) => self.connected(flight, connection),
             FromUpstreams::Ended { flight, end } => self.ended(flight, end),
+            FromUpstreams::Uploads(flight, fate) => self.uploads(flight, fate),
             FromUpstreams::Streamed { request, came } => {
                 if let Some(class) = self.streams.remove(&request) {
                     self.vitals.ended(class, came);
@@ -410,15 +419,44 @@
             let _ = reply.send(Final::Rejected(StatusCode::CONFLICT));
             return;
         }
+        let uploads = forward.body.upload().is_some();
         let deadline = at + time_left.saturating_sub(IN_HAND);
-        let timer = self.set_timer(at + time_left.saturating_sub(BACKSTOP), Timer::Backstop(request));
-        self.vitals.taken(class);
-        let open = Open { id, class, forward: Arc::new(forward), reply, sends: 0, deadline, timer };
+        let forward = Arc::new(forward);
+        let open = Open { id, class, forward, reply, sends: 0, deadline, time_left, timer: None };
         self.open.insert(request, open);
+        if !uploads {
+            self.taken(request, at);
+        }
         let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         self.event(Event::Arrived { request, class, tenant, time_left });
     }
 
+    /// The last byte of a request has come.
+    fn taken(&mut self, request: RequestId, at: Instant) {
+        let Some(open) = self.open.get(&request).filter(|open| open.timer.is_none()) else { return };
+        // A process that ends has no more time than that: who comes late is answered while it lasts.
+        let ends = self.life.borrow().answer_by();
+        let most = ends.map_or(open.time_left, |ends| ends.saturating_duration_since(at));
+        let time_left = open.time_left.min(most);
+        self.vitals.taken(open.class);
+        let timer = self.set_timer(at + time_left.saturating_sub(BACKSTOP), Timer::Backstop(request));
+        if let Some(open) = self.open.get_mut(&request) {
+            open.deadline = at + time_left.saturating_sub(IN_HAND);
+            open.timer = Some(timer);
+        }
+    }
+
+    /// The body of an attempt is still coming, or has come.
+    fn uploads(&mut self, flight: Flight, fate: Fate) {
+        let Flight { request, attempt, .. } = flight;
+        if let Fate::Whole(at) = fate {
+            self.taken(request, at);
+        }
+        if self.sent.contains_key(&(request, attempt)) {
+            self.event(Event::Upload { request, attempt, coming: fate == Fate::Coming });
+        }
+    }
+
     /// Tells the module that a request is over without it, and ends what is out for it.
     fn leave(&mut self, request: RequestId) {
         self.event(Event::Abandoned(request));
@@ -435,7 +473,9 @@
     /// Takes a request off the books.
     fn close(&mut self, request: RequestId) -> Option<Open> {
         let open = self.open.remove(&request)?;
-        self.timers.remove(&open.timer);
+        if let Some(timer) = &open.timer {
+            self.timers.remove(timer);
+        }
         self.ids.remove(&open.id);
         Some(open)
     }
@@ -443,6 +483,12 @@
     /// Answers a request, if it is still owed one.
     fn finish(&mut self, request: RequestId, answer: Final) -> bool {
         let Some(open) = self.close(request) else { return false };
+        // What never came whole was no request, unless it got an upstream's answer or a refusal all the same.
+        match (&answer, open.timer) {
+            (Final::Rejected(_), None) => return open.reply.send(answer).is_ok(),
+            (_, None) => self.vitals.taken(open.class),
+            (_, Some(_)) => {}
+        }
         match &answer {
             // It is served when its last byte has passed.
             Final::Served(_, body) if body.is_stream() => drop(self.streams.insert(request, open.class)),
@@ -486,7 +532,8 @@
         let Some(open) = self.open.get_mut(&request) else { return };
         let attempt = AttemptNo(open.sends);
         open.sends += 1;
-        let body = open.forward.body.len();
+        let body = open.forward.body.length().unwrap_or(0);
+        let gone = open.forward.body.upload().is_some_and(|upload| !upload.can_be_sent());
         let timeout = Duration::try_from_secs_f64(timeout / 1e3).unwrap_or_default();
         let until = match now.checked_add(timeout) {
             Some(until) if !timeout.is_zero() => until.min(open.deadline),
@@ -495,6 +542,10 @@
         let life = self.servers.get(upstream).map_or(0, |server| server.life);
         let flight = Flight { request, attempt, upstream, life, until };
         self.sent.insert((request, attempt), Sent { flight, at: now, give_up: None, body });
+        if gone {
+            // Its body has passed, and there is no other.
+            return self.end_later(flight, Outcome::NotSent);
+        }
         self.start(flight);
     }
 
@@ -565,7 +616,7 @@
             return self.end_later(flight, Outcome::NotSent);
         };
         let dial = self.servers.get(flight.upstream).map(|server| server.dial());
-        let request = outgoing(&open.forward, dial, flight.until);
+        let (request, body) = (outgoing(&open.forward, dial, flight.until), open.forward.body.clone());
         let (give_up, given_up) = oneshot::channel();
         if let Some(sent) = self.sent.get_mut(&key) {
             sent.give_up = Some(give_up);
@@ -573,6 +624,7 @@
         tokio::spawn(attempt(
             connection,
             request,
+            body,
             flight,
             given_up,
             self.common.clone(),
@@ -599,7 +651,14 @@
             }
         };
         let Some(sent) = self.sent.remove(&key) else { return };
-        let latency = sent.at.elapsed().as_secs_f64() * 1e3;
+        let fate = self.open.get(&flight.request).and_then(|open| Some(open.forward.body.upload()?.fate()));
+        // A server begins with the last byte.
+        let began = match fate {
+            None => Some(sent.at),
+            Some(Fate::Whole(at)) => Some(at.max(sent.at)),
+            Some(Fate::Coming | Fate::Broken(_)) => None,
+        };
+        let latency = began.map_or(0.0, |began| began.elapsed().as_secs_f64() * 1e3);
         let report = answer.as_ref().and_then(|answer| {
             let text = answer.headers.get("x-server-load").filter(|_| self.settings.reports_in_answers())?;
             report_from_text(&self.columns, text.to_str().ok()?)
@@ -607,11 +666,17 @@
         let now = self.millis(Instant::now());
         if let Some(plan) = self.module.cross_zone() {
             let got = answer.as_ref().and_then(|answer| answer.body.length()).unwrap_or(0);
-            plan.ended(now, flight.request, flight.attempt, outcome, [sent.body as u64, got]);
+            plan.ended(now, flight.request, flight.attempt, outcome, [sent.body, got]);
         }
         // The first answer goes to the client by itself and ends the request; so does one that finds fault
         // with the request itself, which other upstreams would find as well.
         let mut closed = !self.open.contains_key(&flight.request);
+        let mut outcome = outcome;
+        if let Some(Fate::Broken(status)) = fate {
+            // That it did not come whole is no fault of the upstream's, and it has not run.
+            (closed, outcome) = (true, Outcome::NotSent);
+            self.finish(flight.request, Final::Rejected(status));
+        }
         match (outcome, answer) {
             (Outcome::Ok, Some(answer)) => {
                 self.finish(flight.request, Final::Served(client_headers(&answer.headers), answer.body));
@@ -665,7 +730,7 @@
             },
         };
         let path = if self.columns.is_empty() { "/alive" } else { "/metrics/load" };
-        let mut request = Request::new(Full::new(Bytes::new()));
+        let mut request = Request::new(Outgoing::empty());
         *request.uri_mut() = Uri::from_static(path);
         if let Ok(host) = HeaderValue::from_str(&dial.to_string()) {
             request.headers_mut().insert(header::HOST, host);
@@ -698,9 +763,9 @@
     }
 }
 
-/// The request as it goes to an upstream.
-fn outgoing(forward: &Forward, dial: Option<SocketAddr>, until: Instant) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(forward.body.clone()));
+/// The request as it goes to an upstream, but for its body.
+fn outgoing(forward: &Forward, dial: Option<SocketAddr>, until: Instant) -> Request<Outgoing> {
+    let mut request = Request::new(Outgoing::empty());
     *request.method_mut() = forward.method.clone();
     *request.uri_mut() = forward.target.clone();
     let mut headers = forward.headers.clone();
@@ -711,8 +776,10 @@
     }
     let left = until.saturating_duration_since(Instant::now()).as_millis().max(1) as u64;
     headers.insert("x-timeout-ms", HeaderValue::from(left));
-    if forward.method != Method::GET || !forward.body.is_empty() {
-        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(forward.body.len()));
+    match forward.body.length() {
+        Some(0) if forward.method == Method::GET => {}
+        Some(length) => drop(headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length))),
+        None => drop(headers.insert(header::TRANSFER_ENCODING, HeaderValue::from_static("chunked"))),
     }
     *request.headers_mut() = headers;
     request
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -18,7 +18,7 @@
 use sagemast_decide::api::*;
 use sagemast_decide::settings::ClassForm;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::task::{Id, JoinSet};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
@@ -31,7 +31,9 @@
 use crate::slot::Slot;
 use crate::transfer::answer::Payload;
 use crate::transfer::gathered::Gathered;
-use crate::transfer::limits::{HEAD, WHOLE_BYTES, body_by};
+use crate::transfer::limits::{HEAD, MOST_BYTES, WHOLE_BYTES, body_by};
+use crate::transfer::outgoing::Kept;
+use crate::transfer::upload::Upload;
 use crate::vitals::Vitals;
 
 /// Clients that connect while the sidecar starts or is busy wait here.
@@ -52,6 +54,8 @@
 const ID_BYTES: usize = 256;
 /// The wait after a failed accept: out of descriptors, a busy loop would starve those who could free some.
 const ACCEPT_BACK_OFF: Duration = Duration::from_millis(20);
+/// Who finds no room for a long body is asked to stay away for this long: transfers take seconds.
+const CROWDED_RETRY_MS: Millis = 500.0;
 /// A longer time-out is absurd.
 const MAX_TIMEOUT_MS: u64 = 600_000;
 
@@ -73,6 +77,8 @@
     pub told: Outlet<FromClients>,
     /// How many connections there may be.
     pub connections: Quota,
+    /// Room for bodies that go on as they come.
+    pub transfers: Arc<Semaphore>,
     /// Whether it is ready, and what was counted.
     pub vitals: Arc<Vitals>,
     /// For what goes wrong.
@@ -88,11 +94,12 @@
         life: watch::Receiver<Lifecycle>,
         told: Outlet<FromClients>,
         connections: Quota,
+        transfers: Arc<Semaphore>,
         vitals: Arc<Vitals>,
         log: Log,
     ) -> Front {
         // The module keeps timer 0 for itself and halves request ids into timers.
-        Front { names, life, told, connections, vitals, log, next_id: AtomicU64::new(2) }
+        Front { names, life, told, connections, transfers, vitals, log, next_id: AtomicU64::new(2) }
     }
 }
 
@@ -323,15 +330,18 @@
         Err((status, reason)) => return plain(status, reason),
     };
     let (head, body) = request.into_parts();
-    let body = match whole(body).await {
-        Ok(body) => body,
+    let (began, stated) = (Instant::now(), body.size_hint().exact());
+    let body = match gather(body, began, stated).await {
+        Ok((first, None)) => Kept::Whole(first),
+        Ok((first, Some(rest))) => match front.transfers.clone().try_acquire_owned() {
+            Ok(room) => Kept::Upload(Arc::new(Upload::new(first, rest, stated, began, room))),
+            // Nothing has run, and there is no room to wait in.
+            Err(_) => return refused(CROWDED_RETRY_MS),
+        },
         Err((status, reason)) => return plain(status, reason),
     };
     let at = Instant::now();
     slot.busy();
-    // A process that ends has no more time than that: who comes late is answered while it lasts.
-    let ends = front.life.borrow().answer_by();
-    let time_left = ends.map_or(time_left, |ends| time_left.min(ends.saturating_duration_since(at)));
     // A client may name the whole URL; upstreams are asked for the path in any case.
     let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
     let request = RequestId(front.next_id.fetch_add(1, Ordering::Relaxed));
@@ -348,23 +358,20 @@
             *response.headers_mut() = headers;
             response
         }
-        Ok(Final::Refused(retry_after)) => {
-            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-            let seconds = HeaderValue::from_str(&format!("{:.3}", retry_after / 1_000.0));
-            if let (Ok(seconds), true) = (seconds, retry_after > 0.0) {
-                response.headers_mut().insert(header::RETRY_AFTER, seconds);
-            }
-            response
-        }
+        Ok(Final::Refused(retry_after)) => refused(retry_after),
         Ok(Final::Rejected(status)) => plain(status, "the request cannot be served"),
         Ok(Final::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
     }
 }
 
-/// Reads a body whole, as long as it keeps the least rate.
-async fn whole(mut body: Incoming) -> Result<Bytes, Malformed> {
+/// Reads a body until it is whole or longer than what is held, as long as it keeps the least rate: what has come, and
+/// where the rest of a longer one comes from.
+async fn gather(
+    mut body: Incoming,
+    began: Instant,
+    stated: Option<u64>,
+) -> Result<(Bytes, Option<Incoming>), Malformed> {
     let mut gathered = Gathered::default();
-    let (began, stated) = (Instant::now(), body.size_hint().exact());
     while !body.is_end_stream() {
         match timeout_at(body_by(began, gathered.length() as u64), body.frame()).await {
             Ok(Some(Ok(frame))) => {
@@ -378,10 +385,10 @@
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come")),
         }
         if gathered.length() > WHOLE_BYTES {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"));
+            return Ok((gathered.take(), Some(body)));
         }
     }
-    Ok(gathered.take())
+    Ok((gathered.take(), None))
 }
 
 /// What the head of a sound request says.
@@ -408,7 +415,7 @@
         Some(text) => number(text).ok_or(bad("Content-Length is not a number"))?,
         None => 0,
     };
-    if length > WHOLE_BYTES as u64 {
+    if length > MOST_BYTES {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"));
     }
     match single(headers, "x-priority-class")? {
@@ -465,6 +472,16 @@
     }
 }
 
+/// Trying again is harmless, best after this long.
+fn refused(retry_after: Millis) -> Response<Payload> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
+    let seconds = HeaderValue::from_str(&format!("{:.3}", retry_after / 1_000.0));
+    if let (Ok(seconds), true) = (seconds, retry_after > 0.0) {
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
+}
+
 fn plain(status: StatusCode, reason: &'static str) -> Response<Payload> {
     let mut response = Response::new(Payload::Whole(Bytes::from_static(reason.as_bytes())));
     *response.status_mut() = status;
--- a/crates/sidecar/src/instance.rs
+++ b/crates/sidecar/src/instance.rs
@@ -94,7 +94,8 @@
         let names = Names { classes: settings.classes(), tenants: settings.tenant_names() };
         let vitals = Arc::new(Vitals::new(names.classes.iter().map(|form| form.name.as_str())));
         let longest = Duration::try_from_secs_f64(settings.longest_deadline_ms() / 1e3).unwrap_or_default();
-        let clients = budgets.clients.clone();
+        let (clients, transfers) = (budgets.clients.clone(), budgets.transfers.clone());
+        let (life, lives) = watch::channel(Lifecycle::new(standby, Instant::now()));
         let (driver, happenings) = Driver::new(driver::Parts {
             settings,
             seed,
@@ -104,11 +105,11 @@
             vitals: vitals.clone(),
             log: log.clone(),
             listener: listening.clone(),
+            life: lives.clone(),
         });
-        let (life, lives) = watch::channel(Lifecycle::new(standby, Instant::now()));
         let (life, (hold, held)) = (Arc::new(life), watch::channel(()));
         let told = Outlet::new(happenings.clone());
-        let front = Arc::new(Front::new(names, lives, told, clients, vitals.clone(), log));
+        let front = Arc::new(Front::new(names, lives, told, clients, transfers, vitals.clone(), log));
         let instance =
             Instance { driver, front, listener, known, life: life.clone(), held, telling: listening };
         (instance, Control { happenings, life, _held: Arc::new(hold), vitals, longest })
@@ -272,7 +273,8 @@
         let (life, lives) = watch::channel(life);
         // What it refuses is not told of an instance.
         let vitals = Arc::new(Vitals::new(std::iter::empty()));
-        let front = Front::new(names, lives, refuse, budgets.clients.clone(), vitals, log);
+        let front =
+            Front::new(names, lives, refuse, budgets.clients.clone(), budgets.transfers.clone(), vitals, log);
         (StandIn { front: Arc::new(front), listener }, StandInControl(life))
     }
 
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use sagemast_decide::api::*;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 use crate::transfer::answer::Payload;
+use crate::transfer::outgoing::Kept;
 
 /// Where a part tells what happened, without knowing who listens or what else they hear.
 pub struct Outlet<T>(Arc<dyn Fn(T) -> bool + Send + Sync>);
@@ -52,7 +52,7 @@
     /// End-to-end headers.
     pub headers: HeaderMap,
     /// The body, unchanged.
-    pub body: Bytes,
+    pub body: Kept,
 }
 
 /// A request for the driver.
@@ -65,7 +65,7 @@
     pub tenant: TenantId,
     /// The id that its client gave it.
     pub id: Box<str>,
-    /// When its last byte was read.
+    /// When its last byte was read; of an upload, when it went on.
     pub at: Instant,
     /// How long its client waits from then on.
     pub time_left: Duration,
--- a/crates/sidecar/src/transfer/mod.rs
+++ b/crates/sidecar/src/transfer/mod.rs
@@ -4,4 +4,6 @@
 pub mod framing;
 pub mod gathered;
 pub mod limits;
+pub mod outgoing;
 pub mod patience;
+pub mod upload;
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -22,7 +22,9 @@
 use crate::transfer::answer::{self, Payload, Stream};
 use crate::transfer::gathered::Gathered;
 use crate::transfer::limits::{self, COMING, Plan, WHOLE_BYTES};
+use crate::transfer::outgoing::{Kept, Outgoing};
 use crate::transfer::patience::Patience;
+use crate::transfer::upload::{Fate, Upload};
 use crate::vitals::{Came, Vitals};
 
 /// Why there is no answer.
@@ -35,13 +37,14 @@
     Unfit(&'static str),
 }
 
-/// The bytes that a request takes on the wire at least. Fewer written mean that its last byte was not.
-fn least_size(request: &Request<Full<Bytes>>) -> u64 {
+/// The bytes that a request's head takes on the wire at least. Fewer written than that and its body mean that its last byte
+/// was not.
+fn least_size(request: &Request<Outgoing>) -> u64 {
     let target = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
     let line = request.method().as_str().len() + 1 + target + " HTTP/1.1\r\n".len();
     let headers: usize =
         request.headers().iter().map(|(name, value)| name.as_str().len() + 2 + value.len() + 2).sum();
-    (line + headers + 2) as u64 + request.body().size_hint().lower()
+    (line + headers + 2) as u64
 }
 
 /// Tells from its head that an answer cannot be read whole, or that two readers would differ on where it ends.
@@ -67,12 +70,11 @@
 
 /// Sends a request once and reads its answer: whole, or until it may go on as it comes.
 async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>,
-    mut request: Request<Full<Bytes>>,
+    sender: &mut SendRequest<Outgoing>,
+    mut request: Request<Outgoing>,
     meter: &Arc<Meter>,
-    complete_at: u64,
 ) -> Result<Got, Broken> {
-    let broken = || if meter.written() < complete_at { Broken::Unsent } else { Broken::Cut };
+    let broken = || if meter.is_complete() { Broken::Cut } else { Broken::Unsent };
     let notices = meter.clone();
     hyper::ext::on_informational(&mut request, move |_| notices.answer_is_to_come());
     let response = sender.send_request(request).await.map_err(|_| broken())?;
@@ -167,6 +169,8 @@
         /// How.
         end: End,
     },
+    /// The body of an attempt is still coming, or has come.
+    Uploads(Flight, Fate),
     /// An answer that went on as it came has ended.
     Streamed {
         /// Whose.
@@ -224,7 +228,8 @@
 /// Carries one attempt over a connection until it ends, its time is up or `give_up` is dropped or used.
 pub async fn attempt(
     mut connection: Connection,
-    request: Request<Full<Bytes>>,
+    mut request: Request<Outgoing>,
+    body: Kept,
     flight: Flight,
     mut give_up: oneshot::Receiver<()>,
     common: Common,
@@ -237,11 +242,28 @@
     }
     let meter = connection.meter.clone();
     let before = meter.written();
-    let complete_at = before + least_size(&request);
-    meter.begin_attempt(complete_at, &common.vitals, &common.patience);
+    meter.begin(Some((common.vitals.clone(), common.patience.clone())));
+    let head = before + least_size(&request);
+    let upload = body.upload().cloned();
+    *request.body_mut() = match body {
+        Kept::Whole(bytes) => {
+            meter.complete_at(head + bytes.len() as u64);
+            Outgoing::Whole(Full::new(bytes))
+        }
+        Kept::Upload(upload) => {
+            let counted = meter.clone();
+            match Upload::body(&upload, move |bytes| counted.complete_at(head + bytes)) {
+                Some(body) => Outgoing::Passing(body),
+                None => {
+                    told.tell(FromUpstreams::Ended { flight, end: End::Outcome(Outcome::NotSent, None) });
+                    return give_back(Some(connection), flight.upstream, flight.life, &told);
+                }
+            }
+        }
+    };
     let (end, keep) = {
         let exchange = async {
-            let got = exchange(&mut connection.sender, request, &meter, complete_at).await?;
+            let got = exchange(&mut connection.sender, request, &meter).await?;
             // Room for what goes on as it comes; until there is some it waits with its upstream.
             let room = match &got {
                 Got::Begun { .. } => common.transfers.clone().acquire_owned().await.ok(),
@@ -290,7 +312,7 @@
                 (End::Outcome(Outcome::Error, None), false)
             }
             _ = give_up => (End::Outcome(Outcome::Cancelled, None), false),
-            () = sleep_until(flight.until) => (End::Outcome(Outcome::TimedOut, None), false),
+            () = due(&flight, upload.as_deref(), &told) => (End::Outcome(Outcome::TimedOut, None), false),
         }
     };
     if keep {
@@ -302,7 +324,7 @@
     connection.close().await;
     let end = match end {
         // The last byte was never written and now never will be.
-        End::Outcome(Outcome::TimedOut, None) if meter.written() < complete_at => {
+        End::Outcome(Outcome::TimedOut, None) if !meter.is_complete() => {
             End::Outcome(Outcome::Unreachable, None)
         }
         end => end,
@@ -310,10 +332,27 @@
     told.tell(FromUpstreams::Ended { flight, end });
 }
 
+/// Comes back when an attempt's time is up. That of an upload counts from its last byte.
+async fn due(flight: &Flight, upload: Option<&Upload>, told: &Outlet<FromUpstreams>) {
+    let Some(upload) = upload else { return sleep_until(flight.until).await };
+    let allowed = flight.until.saturating_duration_since(Instant::now());
+    if upload.fate() == Fate::Coming {
+        told.tell(FromUpstreams::Uploads(*flight, Fate::Coming));
+    }
+    match upload.settled().await {
+        Fate::Whole(at) => {
+            told.tell(FromUpstreams::Uploads(*flight, Fate::Whole(at)));
+            sleep_until(at + allowed).await;
+        }
+        // The exchange ends by itself.
+        Fate::Coming | Fate::Broken(_) => std::future::pending().await,
+    }
+}
+
 /// Probes an upstream over an idle connection, or a new one.
 pub async fn probe(
     source: Source,
-    request: Request<Full<Bytes>>,
+    request: Request<Outgoing>,
     upstream: UpstreamId,
     life: u64,
     until: Instant,
@@ -326,7 +365,8 @@
     let mut answer = None;
     if let Ok(mut connection) = opened {
         let meter = connection.meter.clone();
-        let result = timeout_at(until, exchange(&mut connection.sender, request, &meter, 0)).await;
+        meter.begin(None);
+        let result = timeout_at(until, exchange(&mut connection.sender, request, &meter)).await;
         if let Ok(Ok(Got::Whole(got))) = result {
             answer = Some(got);
             told.tell(FromUpstreams::Probed { upstream, answer });
@@ -378,14 +418,14 @@
         });
         let (give_up, given_up) = oneshot::channel();
         drop(give_up);
-        let outgoing = Request::get("/fetch").header("host", "x").body(Full::new(Bytes::new())).unwrap();
+        let outgoing = Request::get("/fetch").header("host", "x").body(Outgoing::empty()).unwrap();
         let common = Common {
             log: Log::process(),
             vitals: Arc::new(Vitals::new(std::iter::empty())),
             patience: Arc::default(),
             transfers: Arc::new(Semaphore::new(1)),
         };
-        attempt(connection, outgoing, flight, given_up, common, outlet).await;
+        attempt(connection, outgoing, Kept::Whole(Bytes::new()), flight, given_up, common, outlet).await;
         let messages = std::mem::take(&mut *told.lock().unwrap());
         let ends: Vec<bool> = messages
             .iter()
