Two processes in an upgrade are one sidecar: memory handed over, limits shared

A new process knew only its configuration's list, and both had whole limits and a whole cold allowance. The elder listens in $TMPDIR; the younger is handed the list with its version and the module's memory (decide/memory.rs: ages, checked whole); each tells the other what it holds and what discovery says; limits are halves or what the other leaves (shares.rs, pure), the module hears of twice the sidecars.

Found by the new tests: an end that was over at once was taken for a crash (exit 1), since the lifecycle was read before the wait. Ruled out: a file renamed now and then, which is old when it is read.

--- a/crates/cli/src/sidecar.rs
+++ b/crates/cli/src/sidecar.rs
@@ -14,6 +14,7 @@
 use sagemast_sidecar::crossing::Crossing;
 use sagemast_sidecar::driver::Told;
 use sagemast_sidecar::front;
+use sagemast_sidecar::handover::{self, Elder, Hold, Place};
 use sagemast_sidecar::inherited;
 use sagemast_sidecar::instance::{Control, Drain, Ended, Instance, Parts};
 use sagemast_sidecar::log::Log;
@@ -63,14 +64,21 @@
         }
         true
     });
+    let place = if shared { Place::from_env() } else { None };
+    let mut elder = match &place {
+        Some(place) => Elder::meet(place, log).await,
+        None => None,
+    };
+    let sidecars = config.settings.settings().sidecars;
     let held = Budgets::with(config.connections(), config.transfers());
     log.line(format!("listening on {address}"));
     let (instance, control) = Instance::new(Parts {
         seed: config.seed(),
         discovery: config.discovery,
         known: config.known,
+        estate: elder.as_mut().and_then(|elder| elder.estate.take()),
         listener: Arc::new(listener),
-        budgets: held,
+        budgets: held.clone(),
         crossing: crossing.clone(),
         log: log.clone(),
         listening,
@@ -79,6 +87,8 @@
     });
     let _console =
         console.map(|listener| Console::start(listener, control.clone(), log.clone())).transpose()?;
+    let succession =
+        place.map(|place| handover::run(place, elder, control.clone(), held, sidecars, log.clone()));
     let mut running = tokio::spawn(instance.run());
     loop {
         tokio::select! {
@@ -87,6 +97,7 @@
             () = ready.notified() => {
                 control.open();
                 log.line("serving");
+                succession.iter().for_each(Hold::serves);
             }
             _ = hangup.recv() => reload(address, &control, crossing.as_ref(), log),
             // Without it nothing is answered: better to be started anew.
@@ -98,7 +109,8 @@
     }
     told(crossing.as_ref(), log);
     let at_most = control.longest_deadline() + LAST_MARGIN;
-    control.drain(match shared {
+    // Without a successor nobody else accepts those who wait.
+    control.drain(match succession.as_ref().is_some_and(Hold::is_succeeded) {
         true => Drain::HandOver { linger: LAST_CALL, at_most },
         false => Drain::Close { linger: STILL_COMING, at_most },
     });
--- a/crates/cli/tests/upgrade.rs
+++ b/crates/cli/tests/upgrade.rs
@@ -13,6 +13,8 @@
 
 /// A sidecar whose socket the test holds, as the platform does.
 struct Platform {
+    /// What all its processes see.
+    tmp: PathBuf,
     socket: TcpListener,
     address: SocketAddr,
     known: String,
@@ -24,19 +26,43 @@
         let socket = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = socket.local_addr().unwrap();
         let known = ready(upstreams);
-        Platform { socket, address, discovery: Discovery::new(&known), known }
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let name = format!("tmp-{}-{}", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
+        let tmp = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&tmp).unwrap();
+        Platform { tmp, socket, address, discovery: Discovery::new(&known), known }
     }
 
     fn config(&self, known: &str) -> String {
         config(&self.address.to_string(), self.discovery.address, known, 1024, SETTINGS)
     }
 
+    /// Starts a process with this configuration.
+    fn start_with(&self, config: &str) -> Sidecar {
+        Sidecar::start_on(&self.socket, config, &[("TMPDIR", &self.tmp)])
+    }
+
     /// Starts a process and waits until it can serve.
     fn start(&self) -> Sidecar {
-        let sidecar = Sidecar::start_on(&self.socket, &self.config(&self.known), &[]);
+        let sidecar = self.start_with(&self.config(&self.known));
         sidecar.wait_log("serving");
         sidecar
     }
+
+    /// Where it is asked by who comes next.
+    fn link(&self) -> PathBuf {
+        self.tmp.join("sagemast.sock")
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.tmp);
+    }
+}
+
+fn has_said(sidecar: &Sidecar, text: &str) -> bool {
+    sidecar.log.lock().unwrap().iter().any(|line| line.contains(text))
 }
 
 #[test]
@@ -76,6 +102,8 @@
         for _ in 0..10 {
             let next = platform.start();
             let before = asked.load(Ordering::SeqCst);
+            assert!(has_said(&next, "goes on from 1 upstreams and what was learnt"));
+            until("the old one knows", || has_said(&serving, "a successor has begun"));
             serving.signal("-TERM");
             assert!(serving.wait_exit().success(), "{:?}", serving.log.lock().unwrap());
             serving = next;
@@ -157,3 +185,169 @@
         );
     }
 }
+
+/// An upstream that fails, beside two that serve.
+fn one_that_fails() -> [Upstream; 3] {
+    [0, 1, 2].map(|number| {
+        Upstream::new(move |_| if number == 0 { Deed::Answer(500, "", vec![]) } else { Deed::ok("served") })
+    })
+}
+
+fn console_of(config: &str) -> (String, SocketAddr) {
+    let console = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    (config.replacen('{', &format!(r#"{{"console":"{console}","#), 1), console)
+}
+
+fn figure(console: SocketAddr, name: &str) -> u64 {
+    let answer = Client::to(console).get("/api/telemetry").expect("figures");
+    let figures: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+    figures[name].as_u64().unwrap()
+}
+
+#[test]
+fn the_new_process_goes_on_from_what_the_old_one_knows() {
+    let upstreams = one_that_fails();
+    let platform = Platform::new(&[&upstreams[0], &upstreams[1], &upstreams[2]]);
+    let (text, console) = console_of(&platform.config(&platform.known));
+    let mut old = platform.start_with(&text);
+    old.wait_log("serving");
+    let mut client = Client::to(platform.address);
+    until("the one that fails is out", || {
+        client.ask("fetch");
+        figure(console, "skipped_upstreams") == 1
+    });
+    // The new one has no list of its own, and no discovery: what the old one has told it must do.
+    let nowhere = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let blind = config(&platform.address.to_string(), nowhere, "null", 1024, SETTINGS);
+    let (text, console) = console_of(&blind);
+    let new = platform.start_with(&text);
+    new.wait_log("serving");
+    assert!(has_said(&new, "goes on from 3 upstreams and what was learnt"));
+    assert_eq!(figure(console, "known_upstreams"), 3);
+    assert_eq!(figure(console, "skipped_upstreams"), 1, "before it has sent anything");
+    until("the old one knows that it is succeeded", || has_said(&old, "a successor has begun"));
+    old.signal("-TERM");
+    assert!(old.wait_exit().success());
+    new.wait_log("the predecessor has ended");
+    assert_eq!(Client::to(platform.address).ask("fetch").status(), 200);
+}
+
+#[test]
+fn a_drain_that_one_of_them_was_told_holds_for_both() {
+    let upstreams = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+    let platform = Platform::new(&[&upstreams[0], &upstreams[1]]);
+    let old = platform.start();
+    let silent = Discovery::new("");
+    let deaf = config(&platform.address.to_string(), silent.address, &platform.known, 1024, SETTINGS);
+    let (text, console) = console_of(&deaf);
+    let new = platform.start_with(&text);
+    new.wait_log("serving");
+    let drained = list(6, false, &[entry("a", upstreams[0].address, "draining")]);
+    platform.discovery.say(&format!("{drained}\n"));
+    until("the new one hears of it from the old one", || figure(console, "skipped_upstreams") == 1);
+    drop(old);
+    let before = upstreams[0].requests().len();
+    for _ in 0..30 {
+        assert_eq!(Client::to(platform.address).ask("fetch").status(), 200);
+    }
+    assert_eq!(upstreams[0].requests().len(), before);
+}
+
+#[test]
+fn a_successor_that_is_killed_leaves_all_as_it_was_and_the_next_one_is_served() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let platform = Platform::new(&[&upstream]);
+    let mut old = platform.start();
+    // One without a list never serves; it is killed while it starts.
+    let nowhere = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    for _ in 0..3 {
+        let mut half = Sidecar::start_on(
+            &platform.socket,
+            &config(&platform.address.to_string(), nowhere, "null", 1024, SETTINGS),
+            &[("TMPDIR", &platform.tmp)],
+        );
+        until("it is met", || has_said(&half, "handover: goes on from"));
+        half.child.kill().unwrap();
+        half.wait_exit();
+        until("the old one knows", || {
+            let log = old.log.lock().unwrap();
+            let count = |what: &str| log.iter().filter(|line| line.contains(what)).count();
+            count("a successor has begun") > 0
+                && count("a successor has begun") == count("the successor has ended")
+        });
+        assert_eq!(Client::to(platform.address).ask("fetch").status(), 200);
+    }
+    let new = platform.start();
+    assert!(has_said(&new, "goes on from 1 upstreams and what was learnt"));
+    old.signal("-TERM");
+    assert!(old.wait_exit().success());
+    assert_eq!(Client::to(platform.address).ask("fetch").status(), 200);
+}
+
+#[test]
+fn an_old_process_that_is_killed_is_missed_and_no_more() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let platform = Platform::new(&[&upstream]);
+    let mut old = platform.start();
+    let mut new = platform.start();
+    old.child.kill().unwrap();
+    old.wait_exit();
+    new.wait_log("the predecessor has ended");
+    assert_eq!(Client::to(platform.address).ask("fetch").status(), 200);
+    // What it left on its way is no predecessor: a third start goes on from the second.
+    let third = platform.start();
+    assert!(has_said(&third, "goes on from 1 upstreams"));
+    new.signal("-HUP");
+    new.wait_log("discovery is at");
+    new.signal("-TERM");
+    assert!(new.wait_exit().success(), "{:?}", new.log.lock().unwrap());
+}
+
+#[test]
+fn a_socket_that_nobody_serves_or_that_speaks_nonsense_holds_no_start_up() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let platform = Platform::new(&[&upstream]);
+    // Of a process that was killed.
+    drop(std::os::unix::net::UnixListener::bind(platform.link()).unwrap());
+    let sidecar = platform.start();
+    assert!(has_said(&sidecar, "starting without a predecessor"));
+    assert_eq!(Client::to(platform.address).ask("fetch").status(), 200);
+    drop(sidecar);
+    for nonsense in [
+        &b""[..],
+        b"\x00\xffnoise\n",
+        b"{\"kind\":\"hello\",\"v\":1}\n",
+        b"{\"kind\":\"estate\",\"list\":{\"seq\":1,\"hosts\":[]}}\n",
+        b"{\"kind\":\"estate\"",
+    ] {
+        let _ = std::fs::remove_file(platform.link());
+        let listener = std::os::unix::net::UnixListener::bind(platform.link()).unwrap();
+        let answering = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let _ = std::io::Write::write_all(&mut stream, nonsense);
+        });
+        let sidecar = platform.start();
+        answering.join().unwrap();
+        assert!(has_said(&sidecar, "starting without a predecessor"), "{nonsense:?}");
+        assert_eq!(Client::to(platform.address).ask("fetch").status(), 200);
+    }
+    // One that takes the call and says nothing.
+    let _ = std::fs::remove_file(platform.link());
+    let silent = std::os::unix::net::UnixListener::bind(platform.link()).unwrap();
+    let sidecar = platform.start();
+    assert!(has_said(&sidecar, "starting without a predecessor"));
+    drop(silent);
+}
+
+#[test]
+fn a_long_directory_is_no_hindrance() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let mut platform = Platform::new(&[&upstream]);
+    let short = platform.tmp.clone();
+    platform.tmp = short.join("d".repeat(100)).join("e".repeat(100));
+    std::fs::create_dir_all(&platform.tmp).unwrap();
+    let _old = platform.start();
+    let new = platform.start();
+    assert!(has_said(&new, "goes on from 1 upstreams"));
+    platform.tmp = short;
+}
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -533,6 +533,7 @@
             seed: spec.seed.unwrap_or_else(random_seed),
             discovery: spec.discovery,
             known,
+            estate: None,
             listener,
             budgets: self.grants.of(&name, &spec),
             crossing: self.crossings.of(&name, &spec, &self.kept),
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -115,7 +115,7 @@
     pub(crate) uploads: Uploads,
     /// Which requests wait for a server's probe.
     waiting: BTreeSet<(UpstreamId, RequestId)>,
-    seen: Learnt,
+    pub(crate) seen: Learnt,
 }
 
 impl Balancer {
--- a/crates/decide/src/fleet.rs
+++ b/crates/decide/src/fleet.rs
@@ -111,6 +111,11 @@
         self.at(self.slot(id)?).map(|(_, server)| server)
     }
 
+    /// All of them, in no order that means anything.
+    pub fn all(&self) -> impl Iterator<Item = (UpstreamId, &Upstream)> {
+        self.entries.iter().flatten().map(|entry| (entry.id, &entry.server))
+    }
+
     /// Changes a server, and then everything that is kept of it.
     pub fn change<T>(&mut self, id: UpstreamId, how: impl FnOnce(&mut Upstream) -> T) -> Option<T> {
         let slot = self.slot(id)?;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod brain;
 pub mod crossing;
 mod fleet;
+pub mod memory;
 mod query;
 pub mod settings;
 mod state;
--- /dev/null
+++ b/crates/decide/src/memory.rs
@@ -0,0 +1,277 @@
+//! What the module has learnt, as it passes to a successor: of each server, and of all. Times are ages, so that the clock
+//! of the one who reads it may start anywhere. It is checked whole and taken whole, or not at all.
+//!
+//! What is out is not part of it: a request stays with the process that took it. Nor is the cold allowance: who takes a
+//! memory over starts with nothing saved up, and earns its part from then on.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Balancer;
+use crate::api::*;
+use crate::state::{Health, Kind, Service, Upstream};
+
+/// More servers than any site has.
+const MOST_SERVERS: usize = 100_000;
+/// More kinds of machine than the module keeps.
+const MOST_KINDS: usize = 1_024;
+/// No time, count or capacity is larger in earnest.
+const MOST: f64 = 1e9;
+
+/// What was learnt.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Memory {
+    /// Of each server.
+    pub servers: Vec<(u64, ServerMemory)>,
+    /// Of all.
+    pub all: Common,
+}
+
+/// What was learnt of one server.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ServerMemory {
+    kappa: Option<f64>,
+    mean_in_flight: f64,
+    utilisation: Option<f64>,
+    /// In flight by its last report with what was sent since, and the age of that.
+    in_flight: f64,
+    reported: Option<Millis>,
+    /// For how long yet that says anything.
+    heard: Option<Millis>,
+    slowness: f64,
+    learnt: Option<Millis>,
+    answered: Option<Millis>,
+    failure_rate: f64,
+    /// How long it stays ejected yet, and how long it was to be.
+    ejected: Option<(Millis, Millis)>,
+}
+
+/// What was learnt of all servers and all arrivals.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Common {
+    /// By class: service time, samples, share refused.
+    classes: Vec<(Millis, f64, f64)>,
+    /// By kind of machine.
+    kinds: Vec<(u64, KindMemory)>,
+    fleet: KindMemory,
+    refused: f64,
+    retry_tokens: f64,
+    room_scale: f64,
+    usual_density: Option<f64>,
+    tenant_shares: Vec<f64>,
+    lateness: f64,
+    usual_service: Option<Millis>,
+    probe_time: Option<Millis>,
+    /// How long ago the first report came.
+    first: Option<Millis>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+struct KindMemory {
+    in_flight: f64,
+    utilisation: f64,
+    reports: f64,
+    pace: f64,
+    answers: f64,
+}
+
+/// Why a memory is not believed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// It is of other classes or tenants.
+    Other,
+    /// It has more entries than there may be.
+    Long,
+    /// A figure in it is absurd.
+    Absurd(&'static str),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Other => write!(f, "it is of other classes or tenants"),
+            Fault::Long => write!(f, "it has more entries than there may be"),
+            Fault::Absurd(what) => write!(f, "its {what} is absurd"),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+fn share(value: f64) -> bool {
+    (0.0..=1.0).contains(&value)
+}
+
+fn amount(value: f64) -> bool {
+    (0.0..=MOST).contains(&value)
+}
+
+fn positive(value: f64) -> bool {
+    value > 0.0 && value <= MOST
+}
+
+fn optional(value: Option<f64>, sound: fn(f64) -> bool) -> bool {
+    value.is_none_or(sound)
+}
+
+fn check(sound: bool, what: &'static str) -> Result<(), Fault> {
+    if sound { Ok(()) } else { Err(Fault::Absurd(what)) }
+}
+
+impl ServerMemory {
+    fn of(upstream: &Upstream, now: Millis) -> ServerMemory {
+        let age = |at: Millis| at.is_finite().then(|| (now - at).clamp(0.0, MOST));
+        let (since, own) = (upstream.since_counted as f64, upstream.outstanding.len() as f64);
+        let bound = |value: f64| value.clamp(0.0, MOST);
+        ServerMemory {
+            kappa: upstream.kappa,
+            mean_in_flight: bound(upstream.mean_in_flight),
+            utilisation: upstream.utilisation.map(bound),
+            in_flight: bound((upstream.reported + since).max(own)),
+            reported: age(upstream.reported_at),
+            heard: upstream.is_heard.then(|| bound(upstream.heard_until - now)),
+            slowness: upstream.slowness,
+            learnt: age(upstream.learnt_at),
+            answered: age(upstream.answered_at),
+            failure_rate: upstream.failure_rate.clamp(0.0, 1.0),
+            ejected: match upstream.health {
+                Health::Ready => None,
+                Health::Ejected { until, wait } => Some((bound(until - now), bound(wait))),
+            },
+        }
+    }
+
+    fn check(&self) -> Result<(), Fault> {
+        check(optional(self.kappa, positive), "capacity")?;
+        check(amount(self.mean_in_flight) && amount(self.in_flight), "load")?;
+        check(optional(self.utilisation, amount), "utilisation")?;
+        let ages = [self.reported, self.heard, self.learnt, self.answered];
+        check(ages.into_iter().all(|age| optional(age, amount)), "age")?;
+        check(positive(self.slowness), "pace")?;
+        check(share(self.failure_rate), "failure rate")?;
+        check(self.ejected.is_none_or(|(left, wait)| amount(left) && amount(wait)), "ejection")
+    }
+
+    fn restore(&self, upstream: &mut Upstream, now: Millis) {
+        let at = |age: Option<Millis>| age.map_or(f64::NEG_INFINITY, |age| now - age);
+        upstream.kappa = self.kappa;
+        upstream.mean_in_flight = self.mean_in_flight;
+        upstream.utilisation = self.utilisation;
+        upstream.reported = self.in_flight;
+        upstream.reported_at = at(self.reported);
+        upstream.is_heard = self.heard.is_some();
+        upstream.heard_until = self.heard.map_or(f64::NEG_INFINITY, |left| now + left);
+        upstream.slowness = self.slowness;
+        upstream.learnt_at = at(self.learnt);
+        upstream.answered_at = at(self.answered);
+        upstream.failure_rate = self.failure_rate;
+        upstream.on_trial = false;
+        upstream.health =
+            self.ejected.map_or(Health::Ready, |(left, wait)| Health::Ejected { until: now + left, wait });
+        (upstream.cold_credit, upstream.cold_at) = (0.0, now);
+    }
+}
+
+impl KindMemory {
+    fn of(kind: &Kind) -> KindMemory {
+        let Kind { in_flight, utilisation, reports, pace, answers } = *kind;
+        KindMemory { in_flight, utilisation, reports: reports.min(MOST), pace, answers: answers.min(MOST) }
+    }
+
+    fn check(&self) -> Result<(), Fault> {
+        let counted = amount(self.reports) && amount(self.answers);
+        let ratio = self.reports == 0.0 || self.utilisation > 0.0;
+        check(counted && ratio && amount(self.in_flight) && amount(self.utilisation), "kind of machine")?;
+        check(positive(self.pace), "pace of a kind of machine")
+    }
+
+    fn kind(&self) -> Kind {
+        let KindMemory { in_flight, utilisation, reports, pace, answers } = *self;
+        Kind { in_flight, utilisation, reports, pace, answers }
+    }
+}
+
+impl Memory {
+    /// Tells what is wrong with it, for so many classes and tenants.
+    fn check(&self, classes: usize, tenants: usize) -> Result<(), Fault> {
+        let all = &self.all;
+        if all.classes.len() != classes || all.tenant_shares.len() != tenants {
+            return Err(Fault::Other);
+        }
+        if self.servers.len() > MOST_SERVERS || all.kinds.len() > MOST_KINDS {
+            return Err(Fault::Long);
+        }
+        self.servers.iter().try_for_each(|(_, server)| server.check())?;
+        for (time, samples, refused) in &all.classes {
+            check(positive(*time) && amount(*samples) && share(*refused), "service time")?;
+        }
+        all.kinds.iter().try_for_each(|(_, kind)| kind.check())?;
+        all.fleet.check()?;
+        check(share(all.refused) && share(all.lateness), "share of refusals")?;
+        check(amount(all.retry_tokens) && share(all.room_scale) && all.room_scale > 0.0, "room")?;
+        check(optional(all.usual_density, positive), "usual worth")?;
+        check(all.tenant_shares.iter().all(|value| share(*value)), "tenant's share")?;
+        let times = [all.usual_service, all.probe_time];
+        check(times.into_iter().all(|time| optional(time, amount)), "usual time")?;
+        check(optional(all.usual_service, positive) && optional(all.first, amount), "usual time")
+    }
+}
+
+impl Balancer {
+    /// What has been learnt up to now.
+    pub fn memory(&self, now: Millis) -> Memory {
+        let (seen, now) = (&self.seen, now.max(self.now));
+        let age = |at: Millis| (now - at).clamp(0.0, MOST);
+        Memory {
+            servers: self.upstreams.all().map(|(id, u)| (id.0, ServerMemory::of(u, now))).collect(),
+            all: Common {
+                classes: seen.service.iter().map(|s| (s.time, s.samples.min(MOST), s.refused)).collect(),
+                kinds: seen.kinds.iter().map(|(id, kind)| (id.0, KindMemory::of(kind))).collect(),
+                fleet: KindMemory::of(&seen.fleet),
+                refused: seen.refused,
+                // Two may retry now, as often as one.
+                retry_tokens: (seen.retry_tokens / 2.0).max(0.0),
+                room_scale: seen.room_scale,
+                usual_density: seen.usual_density,
+                tenant_shares: seen.tenant_shares.clone(),
+                lateness: seen.lateness,
+                usual_service: seen.usual_service,
+                probe_time: seen.probe_time,
+                first: seen.first_at.map(age),
+            },
+        }
+    }
+
+    /// Goes on from what another has learnt. Servers that are not listed here are passed over.
+    ///
+    /// # Errors
+    /// It is of other classes or tenants, or a figure in it is absurd: then nothing of it is taken.
+    pub fn remember(&mut self, now: Millis, memory: &Memory) -> Result<(), Fault> {
+        memory.check(self.seen.service.len(), self.seen.tenant_shares.len())?;
+        self.now = self.now.max(now);
+        let now = self.now;
+        for (id, server) in &memory.servers {
+            self.upstreams.change(UpstreamId(*id), |upstream| server.restore(upstream, now));
+        }
+        let (all, seen) = (&memory.all, &mut self.seen);
+        let service = |(time, samples, refused): &(f64, f64, f64)| Service {
+            time: *time,
+            samples: *samples,
+            refused: *refused,
+        };
+        seen.service = all.classes.iter().map(service).collect();
+        seen.kinds = all.kinds.iter().map(|(id, kind)| (KindId(*id), kind.kind())).collect();
+        seen.fleet = all.fleet.kind();
+        seen.refused = all.refused;
+        seen.retry_tokens = all.retry_tokens.min(seen.retry_tokens);
+        seen.room_scale = all.room_scale;
+        seen.usual_density = all.usual_density;
+        seen.tenant_shares.clone_from(&all.tenant_shares);
+        seen.lateness = all.lateness;
+        seen.usual_service = all.usual_service;
+        seen.probe_time = all.probe_time;
+        seen.first_at = all.first.map(|age| now - age);
+        Ok(())
+    }
+}
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -236,6 +236,11 @@
         &self.azs
     }
 
+    /// Names of the kinds of machine, by kind id.
+    pub fn kind_names(&self) -> &[String] {
+        &self.kinds
+    }
+
     /// The number of a zone. One that the settings do not name gets a number that no other has.
     pub fn zone_named(&self, name: &str) -> u64 {
         number_of(&self.azs, name)
--- a/crates/sidecar/benches/ordinary_path.rs
+++ b/crates/sidecar/benches/ordinary_path.rs
@@ -136,6 +136,7 @@
                 settings,
                 seed: 7,
                 discovery,
+                estate: None,
                 known: None::<HostList>,
                 listener: Arc::new(tokio::net::TcpListener::from_std(listener).expect("a listener")),
                 budgets: Budgets::of(64),
--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -1,10 +1,11 @@
 //! What an instance may hold at once: handed to it by its owner, and returned piece by piece as it lets go.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
-use tokio::sync::Semaphore;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// A number of things that may be held at once. The limit may change while they are held: those beyond a smaller
 /// one stay until they are let go, and until then nothing more is given.
@@ -62,6 +63,104 @@
     }
 }
 
+/// Numbers of things: held, or allowed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Amounts {
+    /// Connections of clients.
+    pub clients: usize,
+    /// Connections to upstreams.
+    pub upstreams: usize,
+    /// Bodies that pass through.
+    pub transfers: usize,
+}
+
+impl Amounts {
+    /// The same of each.
+    pub fn with(self, other: Amounts, how: impl Fn(usize, usize) -> usize) -> Amounts {
+        Amounts {
+            clients: how(self.clients, other.clients),
+            upstreams: how(self.upstreams, other.upstreams),
+            transfers: how(self.transfers, other.transfers),
+        }
+    }
+}
+
+/// Room for bodies that pass through. Unlike a [`Quota`] it can be waited for.
+#[derive(Debug, Clone)]
+pub struct Room(Arc<Places>);
+
+#[derive(Debug)]
+struct Places {
+    semaphore: Arc<Semaphore>,
+    limit: AtomicUsize,
+    /// Places beyond a smaller limit that are still held.
+    owed: Mutex<usize>,
+}
+
+impl Room {
+    /// So many.
+    pub fn new(limit: usize) -> Room {
+        let limit = limit.min(Semaphore::MAX_PERMITS);
+        let semaphore = Arc::new(Semaphore::new(limit));
+        Room(Arc::new(Places { semaphore, limit: AtomicUsize::new(limit), owed: Mutex::new(0) }))
+    }
+
+    /// Takes one, if there is one.
+    pub fn take(&self) -> Option<Taken> {
+        let permit = self.0.semaphore.clone().try_acquire_owned().ok()?;
+        Some(Taken { permit: Some(permit), room: self.0.clone() })
+    }
+
+    /// Waits for one.
+    pub async fn wait(&self) -> Option<Taken> {
+        // Nobody closes it.
+        let permit = self.0.semaphore.clone().acquire_owned().await.ok()?;
+        Some(Taken { permit: Some(permit), room: self.0.clone() })
+    }
+
+    /// How many there may be.
+    pub fn limit(&self) -> usize {
+        self.0.limit.load(Ordering::Relaxed)
+    }
+
+    /// How many are held.
+    pub fn held(&self) -> usize {
+        let owed = *self.0.owed.lock().unwrap_or_else(PoisonError::into_inner);
+        (self.limit() + owed).saturating_sub(self.0.semaphore.available_permits())
+    }
+
+    /// Changes how many there may be. Those beyond a smaller limit stay until they are let go.
+    pub fn set_limit(&self, limit: usize) {
+        let limit = limit.min(Semaphore::MAX_PERMITS);
+        let mut owed = self.0.owed.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = self.0.limit.swap(limit, Ordering::Relaxed);
+        // What is more pays first for what is owed.
+        let more = limit.saturating_sub(before);
+        let paid = more.min(*owed);
+        self.0.semaphore.add_permits(more - paid);
+        *owed = *owed - paid + before.saturating_sub(limit);
+        *owed -= self.0.semaphore.forget_permits(*owed);
+    }
+}
+
+/// One place of a [`Room`]; returned when dropped.
+#[derive(Debug)]
+pub struct Taken {
+    permit: Option<OwnedSemaphorePermit>,
+    room: Arc<Places>,
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        let Some(permit) = self.permit.take() else { return };
+        let mut owed = self.room.owed.lock().unwrap_or_else(PoisonError::into_inner);
+        if *owed > 0 {
+            *owed -= 1;
+            permit.forget();
+        }
+    }
+}
+
 /// A limit that several instances share: how many connections the process may hold to one upstream.
 pub trait SharedConnections: Send + Sync {
     /// The right to one more connection to this address, returned when dropped. `None` when there is none left
@@ -84,7 +183,7 @@
     /// Connections to upstreams.
     pub upstreams: Quota,
     /// Bodies that pass through without being held whole, both ways.
-    pub transfers: Arc<Semaphore>,
+    pub transfers: Room,
     /// What it shares with others, if anything.
     pub shared: Option<Arc<dyn SharedConnections>>,
 }
@@ -100,11 +199,36 @@
         Budgets {
             clients: Quota::new(connections),
             upstreams: Quota::new(connections),
-            transfers: Arc::new(Semaphore::new(transfers.clamp(1, Semaphore::MAX_PERMITS))),
+            transfers: Room::new(transfers),
             shared: None,
         }
     }
 
+    /// What may be held.
+    pub fn limits(&self) -> Amounts {
+        Amounts {
+            clients: self.clients.limit(),
+            upstreams: self.upstreams.limit(),
+            transfers: self.transfers.limit(),
+        }
+    }
+
+    /// What is held.
+    pub fn held(&self) -> Amounts {
+        Amounts {
+            clients: self.clients.held(),
+            upstreams: self.upstreams.held(),
+            transfers: self.transfers.held(),
+        }
+    }
+
+    /// Changes what may be held.
+    pub fn limit(&self, to: Amounts) {
+        self.clients.set_limit(to.clients);
+        self.upstreams.set_limit(to.upstreams);
+        self.transfers.set_limit(to.transfers);
+    }
+
     /// The right to one more connection to this address.
     pub fn permit(&self, dial: SocketAddr) -> Option<Permit> {
         let own = self.upstreams.take()?;
@@ -133,6 +257,39 @@
         assert!(quota.take().is_some());
     }
 
+    #[test]
+    fn room_shrinks_and_grows_while_it_is_held() {
+        let room = Room::new(4);
+        let mut held: Vec<_> = (0..3).filter_map(|_| room.take()).collect();
+        room.set_limit(1);
+        assert_eq!((room.held(), room.limit()), (3, 1));
+        held.pop();
+        assert!(room.take().is_none(), "two are held, and one is all there may be");
+        room.set_limit(3);
+        assert!(room.take().is_some());
+        held.clear();
+        assert_eq!(room.held(), 0);
+        let all: Vec<_> = std::iter::from_fn(|| room.take()).collect();
+        assert_eq!(all.len(), 3);
+        let mut rng = oorandom::Rand64::new(6);
+        let (room, mut held) = (Room::new(20), Vec::new());
+        for _ in 0..20_000 {
+            match rng.rand_range(0..5) {
+                0 => room.set_limit(rng.rand_range(0..40) as usize),
+                1 | 2 => drop(held.pop()),
+                _ => {
+                    let before = held.len();
+                    held.extend(room.take());
+                    assert!(held.len() == before || held.len() <= room.limit());
+                }
+            }
+            assert_eq!(room.held(), held.len());
+        }
+        held.clear();
+        room.set_limit(7);
+        assert_eq!(std::iter::from_fn(|| room.take()).map(std::mem::forget).count(), 7);
+    }
+
     #[test]
     fn what_the_shared_limit_refuses_costs_nothing_of_its_own() {
         struct None_;
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -10,6 +10,7 @@
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use sagemast_decide::Balancer;
 use sagemast_decide::api::*;
+use sagemast_decide::memory::Memory;
 use sagemast_decide::settings::{Column, Config as SettingsObject, report_from_text};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
@@ -18,6 +19,7 @@
 use crate::connection::{Connection, Pool};
 use crate::crossing::Crossing;
 use crate::discovery::{AbortOnDrop, FromDiscovery, Watch};
+use crate::handover::message::{Estate, Known, Names};
 use crate::headers::end_to_end;
 use crate::hosts::HostList;
 use crate::lifecycle;
@@ -55,6 +57,12 @@
     Retire,
     /// Hand over the list of upstreams as it stands.
     List(oneshot::Sender<HostList>),
+    /// Hand over what a successor goes on from.
+    Estate(oneshot::Sender<Estate>),
+    /// Tell others of the same sidecar what discovery tells, from now on.
+    Follow(mpsc::Sender<HostList>),
+    /// Another process of the same sidecar was told this by discovery.
+    News(HostList),
     /// Fail, as a fault in the code would make it fail. Only the rig and tests ask for this.
     Panic,
 }
@@ -172,6 +180,8 @@
     watch: Option<AbortOnDrop>,
     /// The number of the present watch.
     watches: u64,
+    /// Who is told what it tells.
+    followers: Option<mpsc::Sender<HostList>>,
     epoch: Instant,
     open: HashMap<RequestId, Open>,
     /// The ids that clients gave the open requests.
@@ -230,6 +240,7 @@
             seq: 0,
             watch: None,
             watches: 0,
+            followers: None,
             epoch: Instant::now(),
             open: HashMap::new(),
             ids: HashSet::new(),
@@ -250,9 +261,14 @@
     }
 
     /// Runs for good.
-    pub async fn run(mut self, known: Option<HostList>) {
-        let known = known.unwrap_or(HostList { seq: 0, whole: true, hosts: Vec::new() });
-        self.listed(&known, true);
+    pub async fn run(mut self, known: Option<HostList>, estate: Option<Box<Estate>>) {
+        match estate.filter(|estate| !estate.list.hosts.is_empty()) {
+            Some(estate) => self.inherit(&estate),
+            None => {
+                let known = known.unwrap_or(HostList { seq: 0, whole: true, hosts: Vec::new() });
+                self.listed(&known, true);
+            }
+        }
         if !self.subscribed {
             self.watch();
         }
@@ -374,6 +390,11 @@
                 // Who asked may have gone.
                 let _ = reply.send(self.servers.list(self.seq));
             }
+            Happening::Order(Order::Estate(reply)) => {
+                let _ = reply.send(self.estate());
+            }
+            Happening::Order(Order::Follow(news)) => self.followers = Some(news),
+            Happening::Order(Order::News(list)) => self.heard_from_peer(&list),
             Happening::Order(Order::Panic) => panic!("told to fail"),
         }
     }
@@ -401,7 +422,13 @@
 
     fn heard_of_list(&mut self, message: FromDiscovery) {
         match message {
-            FromDiscovery::Listed { watch, list } if watch == self.watches => self.listed(&list, false),
+            FromDiscovery::Listed { watch, list } if watch == self.watches => {
+                self.listed(&list, false);
+                if let Some(followers) = &self.followers {
+                    // Who does not keep up has a watch of its own.
+                    let _ = followers.try_send(list);
+                }
+            }
             FromDiscovery::Failed { watch, seq } if watch == self.watches => {
                 self.seq = seq;
                 self.event(Event::Listed(ListNews::Unavailable));
@@ -411,6 +438,43 @@
         }
     }
 
+    /// Takes in what discovery has told another process of this sidecar, if it has not told it here: to the rules
+    /// both were told. The own version stays, since what lies between is still to come.
+    fn heard_from_peer(&mut self, list: &HostList) {
+        let own = self.seq;
+        if list.seq > own {
+            self.listed(list, false);
+            self.seq = own;
+        }
+    }
+
+    /// What a successor goes on from.
+    fn estate(&self) -> Estate {
+        let Memory { servers, all } = self.module.memory(self.millis(Instant::now()));
+        let known = servers.into_iter().filter_map(|(id, memory)| {
+            let host = &self.servers.get(UpstreamId(id))?.host;
+            Some(Known { host: host.host.clone(), born_ms: host.born_ms, memory })
+        });
+        let list = self.servers.list(self.seq);
+        Estate { names: Names::of(&self.settings), list, all, servers: known.collect() }
+    }
+
+    /// Goes on from what a predecessor left.
+    fn inherit(&mut self, estate: &Estate) {
+        self.listed(&estate.list, true);
+        let memory = estate.memory(|host, born| self.servers.number(host, born).map(|id| id.0));
+        let now = self.millis(Instant::now());
+        let learnt = match estate.names == Names::of(&self.settings) {
+            true => self.module.remember(now, &memory).map_err(|fault| fault.to_string()),
+            false => Err("the settings name other things".to_owned()),
+        };
+        let count = self.servers.count();
+        match learnt {
+            Ok(()) => self.log.line(format!("handover: goes on from {count} upstreams and what was learnt")),
+            Err(fault) => self.log.line(format!("handover: goes on from {count} upstreams only: {fault}")),
+        }
+    }
+
     fn arrived(&mut self, arrival: Arrival) {
         let Arrival { request, class, tenant, id, at, time_left, forward, reply } = arrival;
         // Upstreams know a request by its id. One that says it is another's would be taken for that one's
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -18,11 +18,11 @@
 use sagemast_decide::api::*;
 use sagemast_decide::settings::ClassForm;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tokio::task::{Id, JoinSet};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-use crate::budget::Quota;
+use crate::budget::{Quota, Room};
 use crate::client::Client;
 use crate::headers::end_to_end;
 use crate::lifecycle::{Lifecycle, Stage};
@@ -78,7 +78,7 @@
     /// How many connections there may be.
     pub connections: Quota,
     /// Room for bodies that go on as they come.
-    pub transfers: Arc<Semaphore>,
+    pub transfers: Room,
     /// Whether it is ready, and what was counted.
     pub vitals: Arc<Vitals>,
     /// For what goes wrong.
@@ -94,7 +94,7 @@
         life: watch::Receiver<Lifecycle>,
         told: Outlet<FromClients>,
         connections: Quota,
-        transfers: Arc<Semaphore>,
+        transfers: Room,
         vitals: Arc<Vitals>,
         log: Log,
     ) -> Front {
@@ -333,10 +333,10 @@
     let (began, stated) = (Instant::now(), body.size_hint().exact());
     let body = match gather(body, began, stated).await {
         Ok((first, None)) => Kept::Whole(first),
-        Ok((first, Some(rest))) => match front.transfers.clone().try_acquire_owned() {
-            Ok(room) => Kept::Upload(Arc::new(Upload::new(first, rest, stated, began, room))),
+        Ok((first, Some(rest))) => match front.transfers.take() {
+            Some(room) => Kept::Upload(Arc::new(Upload::new(first, rest, stated, began, room))),
             // Nothing has run, and there is no room to wait in.
-            Err(_) => return refused(CROWDED_RETRY_MS),
+            None => return refused(CROWDED_RETRY_MS),
         },
         Err((status, reason)) => return plain(status, reason),
     };
--- a/crates/sidecar/src/instance.rs
+++ b/crates/sidecar/src/instance.rs
@@ -17,6 +17,7 @@
 use crate::crossing::Crossing;
 use crate::driver::{self, Driver, Happening, Order, Told};
 use crate::front::{self, Front, Names};
+use crate::handover::message::Estate;
 use crate::hosts::HostList;
 use crate::lifecycle::{Lifecycle, Wish};
 use crate::log::Log;
@@ -39,6 +40,8 @@
     pub discovery: SocketAddr,
     /// The list of upstreams as a predecessor last had it.
     pub known: Option<HostList>,
+    /// What a predecessor that still runs has left: it counts before the list.
+    pub estate: Option<Box<Estate>>,
     /// Where clients connect. Registered with the runtime that the instance is run on.
     pub listener: Arc<TcpListener>,
     /// What it may hold.
@@ -70,6 +73,7 @@
     front: Arc<Front>,
     listener: Arc<TcpListener>,
     known: Option<HostList>,
+    estate: Option<Box<Estate>>,
     life: Arc<watch::Sender<Lifecycle>>,
     held: watch::Receiver<()>,
     telling: Outlet<Told>,
@@ -89,8 +93,19 @@
 impl Instance {
     /// An instance and the hold on it.
     pub fn new(parts: Parts) -> (Instance, Control) {
-        let Parts { settings, seed, discovery, known, listener, budgets, crossing, log, listening, standby } =
-            parts;
+        let Parts {
+            settings,
+            seed,
+            discovery,
+            known,
+            estate,
+            listener,
+            budgets,
+            crossing,
+            log,
+            listening,
+            standby,
+        } = parts;
         let names = Names { classes: settings.classes(), tenants: settings.tenant_names() };
         let vitals = Arc::new(Vitals::new(names.classes.iter().map(|form| form.name.as_str())));
         let longest = Duration::try_from_secs_f64(settings.longest_deadline_ms() / 1e3).unwrap_or_default();
@@ -111,15 +126,15 @@
         let told = Outlet::new(happenings.clone());
         let front = Arc::new(Front::new(names, lives, told, clients, transfers, vitals.clone(), log));
         let instance =
-            Instance { driver, front, listener, known, life: life.clone(), held, telling: listening };
+            Instance { driver, front, listener, known, estate, life: life.clone(), held, telling: listening };
         (instance, Control { happenings, life, _held: Arc::new(hold), vitals, longest })
     }
 
     /// Runs until it has drained or failed. When this future is dropped, everything that belongs to the instance
     /// ends with it: connections are closed as they are.
     pub async fn run(self) -> Ended {
-        let Instance { driver, front, listener, known, life, mut held, telling } = self;
-        let mut driver = Part(tokio::spawn(driver.run(known)));
+        let Instance { driver, front, listener, known, estate, life, mut held, telling } = self;
+        let mut driver = Part(tokio::spawn(driver.run(known, estate)));
         let let_go = move || {
             telling.tell(Told::LetGo);
         };
@@ -136,7 +151,8 @@
                     return Ended::Failed(reason("the driver", ended));
                 }
                 ended = &mut serving.0 => return match ended {
-                    Ok(()) if now.ends() => Ended::Drained,
+                    // It may have ended as soon as it was told to.
+                    Ok(()) if life.borrow().ends() => Ended::Drained,
                     ended => Ended::Failed(reason("the listener", ended)),
                 },
                 _ = lives.changed() => {}
@@ -225,6 +241,23 @@
         list
     }
 
+    /// What a successor goes on from. The receiver fails when the instance has ended.
+    pub fn estate(&self) -> oneshot::Receiver<Estate> {
+        let (reply, estate) = oneshot::channel();
+        let _ = self.happenings.send(Happening::Order(Order::Estate(reply)));
+        estate
+    }
+
+    /// Sends there what discovery tells, from now on; what finds no room there is dropped.
+    pub fn follow(&self, news: mpsc::Sender<HostList>) {
+        let _ = self.happenings.send(Happening::Order(Order::Follow(news)));
+    }
+
+    /// Another process of the same sidecar was told this by discovery.
+    pub fn news(&self, list: HostList) {
+        let _ = self.happenings.send(Happening::Order(Order::News(list)));
+    }
+
     /// Has the driver panic, for the rig and for tests.
     pub fn inject_panic(&self) {
         let _ = self.happenings.send(Happening::Order(Order::Panic));
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod discovery;
 pub mod driver;
 pub mod front;
+pub mod handover;
 pub mod headers;
 pub mod hosts;
 pub mod inherited;
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -63,6 +63,12 @@
         self.by_id.get_mut(&id)
     }
 
+    /// The number of a host in this life.
+    pub fn number(&self, host: &str, born_ms: f64) -> Option<UpstreamId> {
+        let id = *self.ids.get(host)?;
+        self.by_id.get(&id).filter(|server| server.host.born_ms == born_ms).map(|_| id)
+    }
+
     /// The idle connections to each.
     pub fn pools(&mut self) -> impl Iterator<Item = &mut Pool> {
         self.by_id.values_mut().map(|server| &mut server.pool)
--- a/crates/sidecar/src/transfer/answer.rs
+++ b/crates/sidecar/src/transfer/answer.rs
@@ -8,10 +8,10 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::limits::{MOST_BYTES, STILL};
+use crate::budget::Taken;
 use crate::connection::Connection;
 use crate::slot::Slot;
 use crate::vitals::Came;
@@ -85,7 +85,7 @@
     ended: bool,
     torn: bool,
     slot: Option<Arc<Slot>>,
-    _room: OwnedSemaphorePermit,
+    _room: Taken,
 }
 
 /// What a stream is made of.
@@ -101,7 +101,7 @@
     /// Called at its end.
     pub end: End,
     /// The room that it takes.
-    pub room: OwnedSemaphorePermit,
+    pub room: Taken,
 }
 
 impl Stream {
--- a/crates/sidecar/src/transfer/upload.rs
+++ b/crates/sidecar/src/transfer/upload.rs
@@ -11,10 +11,11 @@
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::sync::{OwnedSemaphorePermit, watch};
+use tokio::sync::watch;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::limits::{MOST_BYTES, body_by};
+use crate::budget::Taken;
 
 /// What became of a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,7 +48,7 @@
     gathered: Instant,
     source: Mutex<Source>,
     fate: watch::Sender<Fate>,
-    _room: OwnedSemaphorePermit,
+    _room: Taken,
 }
 
 /// Nothing that is held under it can panic.
@@ -57,13 +58,7 @@
 
 impl Upload {
     /// A body of which so much has come; its head came then.
-    pub fn new(
-        first: Bytes,
-        rest: Incoming,
-        length: Option<u64>,
-        began: Instant,
-        room: OwnedSemaphorePermit,
-    ) -> Upload {
+    pub fn new(first: Bytes, rest: Incoming, length: Option<u64>, began: Instant, room: Taken) -> Upload {
         let source = Mutex::new(Source::Kept(Box::new(rest)));
         Upload {
             first,
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -11,10 +11,10 @@
 use hyper::{Request, Response, StatusCode, header};
 use sagemast_decide::api::*;
 use tokio::runtime::Handle;
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::budget::Permit;
+use crate::budget::{Permit, Room};
 use crate::connection::Connection;
 use crate::counted::Meter;
 use crate::log::Log;
@@ -222,7 +222,7 @@
     /// How long answers that stop are waited for.
     pub patience: Arc<Patience>,
     /// Room for answers that go on as they come.
-    pub transfers: Arc<Semaphore>,
+    pub transfers: Room,
 }
 
 /// Carries one attempt over a connection until it ends, its time is up or `give_up` is dropped or used.
@@ -266,7 +266,7 @@
             let got = exchange(&mut connection.sender, request, &meter).await?;
             // Room for what goes on as it comes; until there is some it waits with its upstream.
             let room = match &got {
-                Got::Begun { .. } => common.transfers.clone().acquire_owned().await.ok(),
+                Got::Begun { .. } => common.transfers.wait().await,
                 Got::Whole(_) | Got::Head(_) => None,
             };
             Ok((got, room))
@@ -423,7 +423,7 @@
             log: Log::process(),
             vitals: Arc::new(Vitals::new(std::iter::empty())),
             patience: Arc::default(),
-            transfers: Arc::new(Semaphore::new(1)),
+            transfers: Room::new(1),
         };
         attempt(connection, outgoing, Kept::Whole(Bytes::new()), flight, given_up, common, outlet).await;
         let messages = std::mem::take(&mut *told.lock().unwrap());
