--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -143,6 +143,8 @@
     pub sidecars: u32,
     /// What one zone crossing costs, as a fraction of a mean request's worth.
     pub crossing_fee: f64,
+    /// What one probe costs, as a fraction of a mean request's worth.
+    pub probe_fee: f64,
     /// Allowances.
     pub limits: Limits,
     /// Rule figures.
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -12,6 +12,7 @@
 use crate::api::*;
 use crate::crossing::{Attempt, CrossZone};
 use crate::fleet::{Fleet, Looks, Reach, Slot};
+use crate::probes::Purse;
 use crate::state::*;
 use crate::upload::Uploads;
 
@@ -84,10 +85,6 @@
 const EJECT_FOR: [Millis; 2] = [1_000.0, 8_000.0];
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
-/// All sidecars together send it work at this share of its allowance, however many requests come,
-const COLD_RATE: f64 = 0.4;
-/// and may have saved up this share of what the allowance comes to in one window of the rule.
-const COLD_SAVED: f64 = 0.25;
 /// From so many kinds of machine on, those that no server is of are forgotten.
 const KINDS: usize = 64;
 /// Discovery is asked within this share of the time in which it must be; doubles with each failure.
@@ -103,7 +100,7 @@
 #[derive(Debug)]
 pub struct Balancer {
     pub(crate) settings: Settings,
-    rng: Rand64,
+    pub(crate) rng: Rand64,
     pub(crate) now: Millis,
     /// What limits traffic that leaves the zone, if anything does.
     pub(crate) cross: Option<Box<dyn CrossZone>>,
@@ -113,6 +110,7 @@
     pub(crate) sends: FxHashMap<(RequestId, AttemptNo), (u64, UpstreamId)>,
     pub(crate) next_send: u64,
     pub(crate) uploads: Uploads,
+    purse: Purse,
     /// Which requests wait for a server's probe.
     waiting: BTreeSet<(UpstreamId, RequestId)>,
     pub(crate) seen: Learnt,
@@ -124,6 +122,7 @@
         // Until answers tell, a service time that leaves room for a queue and another try.
         let service = settings.classes.iter().map(|class| Service::new(class.aim * SERVICE_PRIOR)).collect();
         let seen = Learnt::new(service, settings.tenants.len(), RETRY_BURST);
+        let purse = Purse::new(settings.probe_fee);
         Balancer {
             settings,
             rng: Rand64::new(u128::from(seed)),
@@ -134,6 +133,7 @@
             sends: FxHashMap::default(),
             next_send: 1,
             uploads: Uploads::default(),
+            purse,
             waiting: BTreeSet::new(),
             seen,
         }
@@ -178,6 +178,7 @@
             return out.push(Action::Refuse { request, retry_after: 0.0 });
         }
         self.seen.retry_tokens = (self.seen.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
+        self.purse.arrived();
         for (number, share) in self.seen.tenant_shares.iter_mut().enumerate() {
             *share += SMOOTH_ALL * (f64::from(u8::from(number == held.tenant.0)) - *share);
         }
@@ -223,28 +224,11 @@
         if to.warmth >= 1.0 {
             return true;
         }
-        let (class, odds) = (held.class, if again { held.odds } else { self.odds(held) });
-        let Some(kappa) = self.upstreams.get(to.id).map(|upstream| self.kappa(upstream)) else {
-            return false;
-        };
-        let (now, safety, cost) = (self.now, &self.settings.safety, self.seen.service[class.0].time.max(1.0));
-        let multiple = safety.fall_multiple * to.warmth;
+        let odds = if again { held.odds } else { self.odds(held) };
         // Where there is no room elsewhere, more requests come than servers can carry, and more to this one.
+        let multiple = self.settings.safety.fall_multiple * to.warmth;
         let share = COLD_MARGIN * multiple / 2.0 * odds * (1.0 - self.seen.refused);
-        let allowance = multiple * kappa / f64::from(self.settings.sidecars.max(1));
-        let most = COLD_SAVED * allowance * safety.fall;
-        let whole = most >= cost;
-        let luck = self.rng.rand_float();
-        let spend = |upstream: &mut Upstream| {
-            let earned = upstream.cold_credit + COLD_RATE * allowance * (now - upstream.cold_at);
-            let credit = earned.min(most);
-            let chance = share.min(if whole { (credit / cost).floor() } else { credit / cost });
-            let won = luck < chance;
-            let spent = if whole { f64::from(u8::from(won)) } else { chance };
-            (upstream.cold_credit, upstream.cold_at) = (credit - spent * cost, now);
-            won
-        };
-        self.upstreams.change(to.id, spend).unwrap_or(false)
+        self.affords(to, held.class, share)
     }
 
     /// Waits for the probes of a pair. Timers are numbered in 63 bits: two requests may share one.
@@ -352,7 +336,11 @@
             // Older than what is renewed: there is a probe to wait for.
             hold_after: (HOLD_AFTER * service).max(FRESH * self.scale()),
             means: self.upstreams.means(),
-            may_hold: self.settings.limits.probes && held.holds < HOLDS && spare && soon,
+            may_hold: self.settings.limits.probes
+                && self.purse.can(2.0)
+                && held.holds < HOLDS
+                && spare
+                && soon,
             room: self.room(held) * aim_left * if held.holds > 0 { HELD_ROOM } else { 1.0 },
             near_limit: limit(terms.map_or(self.settings.crossing_fee, |terms| terms.fee)),
             failing: terms.map_or(1.0, |terms| terms.bend_at),
@@ -360,7 +348,7 @@
     }
 
     /// A server as a request sees it now, with its projected utilisation and expected answer time.
-    fn look(&self, slot: Slot, held: &Held, view: &View) -> Option<Candidate> {
+    pub(crate) fn look(&self, slot: Slot, held: &Held, view: &View) -> Option<Candidate> {
         let (id, upstream) = self.upstreams.at(slot)?;
         let (in_flight, kappa) = (self.in_flight(upstream, &view.means), self.kappa(upstream));
         let warmth = upstream.warmth(self.now, &self.settings.safety);
@@ -407,7 +395,7 @@
 
     /// κ: from the server's own reports, which fade into those of its kind: a small sidecar hears from one
     /// server too seldom to know it. Before any report of the kind, its listed weight and the mean of all.
-    fn kappa(&self, upstream: &Upstream) -> f64 {
+    pub(crate) fn kappa(&self, upstream: &Upstream) -> f64 {
         let ratio = |kind: &Kind| (kind.reports > 0.0).then(|| kind.in_flight / kind.utilisation);
         let listed = upstream.weight * ratio(&self.seen.fleet).unwrap_or(1.0);
         let kind = self.seen.kinds.get(&upstream.kind).and_then(ratio).unwrap_or(listed);
@@ -586,7 +574,8 @@
     }
 
     fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
-        let (now, next, may_probe) = (self.now, self.next_send, self.settings.limits.probes);
+        let may_probe = self.settings.limits.probes && self.purse.can(1.0);
+        let (now, next) = (self.now, self.next_send);
         let (fresh, lost) = (FRESH * self.scale(), STALE * self.scale());
         let ask = |upstream: &mut Upstream| {
             let waiting = upstream.probe_sent.is_some_and(|sent| now - sent < lost);
@@ -599,6 +588,7 @@
         };
         if self.upstreams.change(id, ask) == Some(true) {
             self.tell_probed(id);
+            self.purse.spend();
             out.push(Action::Probe(id));
         }
     }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,9 +3,11 @@
 
 pub mod api;
 pub mod brain;
+mod cold;
 pub mod crossing;
 mod fleet;
 pub mod memory;
+mod probes;
 mod query;
 pub mod settings;
 mod state;
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -150,6 +150,7 @@
             zone: ZoneId(self.zone),
             sidecars: self.peers_total,
             crossing_fee: self.fees.get("cross_zone").copied().unwrap_or(0.0),
+            probe_fee: self.fees.get("probe").copied().unwrap_or(0.0),
             limits: Limits {
                 max_attempts: self.allowed.max_attempts,
                 duplicates: self.allowed.may_duplicate,
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -32,6 +32,7 @@
         zone: ZoneId(0),
         sidecars: 2,
         crossing_fee: 0.0,
+        probe_fee: 0.0,
         limits: Limits {
             max_attempts: 4,
             duplicates: false,
--- a/crates/decide/tests/pick.rs
+++ b/crates/decide/tests/pick.rs
@@ -426,3 +426,42 @@
     assert!(sent_to(&place(1.0)).is_some());
     assert!(refused(&place(3.0)), "behind a queue it would be late");
 }
+
+#[test]
+fn dear_probes_are_paid_out_of_what_requests_earn() {
+    let probes = |fee: f64| {
+        let mut settings = settings();
+        settings.probe_fee = fee;
+        let mut stage = Stage::new(settings, (1..=20).map(listing).collect());
+        let (mut probes, mut refused) = (0, 0);
+        for _ in 0..400 {
+            stage.now += 400.0;
+            let (request, actions) = stage.arrive(REPEATABLE);
+            let asked: Vec<UpstreamId> = actions
+                .iter()
+                .filter_map(|action| match action {
+                    Action::Probe(upstream) => Some(*upstream),
+                    _ => None,
+                })
+                .collect();
+            probes += asked.len();
+            let mut sent = sent_to(&actions);
+            for upstream in asked {
+                let report = Report { in_flight: Some(1.0), utilisation: Some(0.3), ..Report::default() };
+                let actions = stage.event(Event::Probed { upstream, answered: true, report: Some(report) });
+                sent = sent.or(sent_to(&actions));
+            }
+            match sent {
+                Some(to) => drop(stage.finish(request, 0, to, Outcome::Ok, 20.0)),
+                None => refused += 1,
+            }
+        }
+        (probes, refused)
+    };
+    let (free, cheap, dear) = (probes(0.0), probes(0.002), probes(0.08));
+    assert_eq!(free, cheap, "what is cheap is not limited");
+    assert!(cheap.0 >= 790, "{cheap:?}");
+    // One percent of 400 requests' worth, and what a purse holds at first.
+    assert!((45..=55).contains(&dear.0), "{dear:?}");
+    assert_eq!(dear.1, 0, "none waits in vain");
+}
--- a/crates/flows/src/flows.rs
+++ b/crates/flows/src/flows.rs
@@ -111,6 +111,7 @@
         zone: module::ZoneId(rules.zone),
         sidecars: rules.peers,
         crossing_fee: rules.crossing_fee,
+        probe_fee: 0.0,
         limits: module::Limits {
             max_attempts: ATTEMPTS,
             duplicates: false,
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -801,6 +801,7 @@
         zone: ZoneId(zone as u64),
         sidecars: day.clients.sidecars as u32,
         crossing_fee: 0.0,
+        probe_fee: 0.0,
         limits: Limits {
             max_attempts: day.network.max_attempts,
             duplicates: false,
--- a/crates/stage/src/bin/sagemast-rig/decide_scale.rs
+++ b/crates/stage/src/bin/sagemast-rig/decide_scale.rs
@@ -38,6 +38,7 @@
         zone: ZoneId(0),
         sidecars: 4,
         crossing_fee: 0.03,
+        probe_fee: 0.0,
         limits: Limits {
             max_attempts: 4,
             duplicates: false,
