A successor that ends while it is being told is said to have ended

One run in some of the daemon's tests said 'it does not listen: Broken pipe' where the successor had exited before all was written.

--- a/crates/daemon/src/handover.rs
+++ b/crates/daemon/src/handover.rs
@@ -274,7 +274,11 @@
     }
 
     fn pass_on(&mut self, bequest: &Bequest, cancelled: &AtomicBool) -> Result<Vec<Place>, String> {
-        let tell = |error: io::Error| format!("it does not listen: {error}");
+        let tell = |error: io::Error| match error.kind() {
+            // It may end while it is still being told.
+            io::ErrorKind::BrokenPipe | io::ErrorKind::ConnectionReset => ENDED.to_owned(),
+            _ => format!("it does not listen: {error}"),
+        };
         let lock = bequest.lock.as_ref().map(|lock| lock.as_fd());
         let singles: Vec<BorrowedFd<'_>> = std::iter::once(bequest.control.as_fd()).chain(lock).collect();
         let begin = Said::Begin {
