Quiet connections hold a third of the places at most

Traced this time by each connection's life: every request came on a new connection that its client then kept, 128 at most, and the sidecar closed them after 2.2 s, so 58 a second came through while no limit of ours was met. The longest quiet of those that were answered are closed now beyond a third of the places, whenever another client connects; who uses theirs keeps it.

Ruled out: our own limit (181 of 180 was met only by silent ones), accepting too slowly (accepted at once), the module (refused nothing). Also: a head that is half way when a connection's time is up may end.

--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -302,3 +302,37 @@
     assert_eq!(call(console, "GET", "/api/ready").0, 200);
     assert!(start.elapsed() < Duration::from_secs(20));
 }
+
+#[test]
+fn who_is_half_way_through_a_head_when_the_time_is_up_may_end_it() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (sidecar, _discovery, console) = operated(&[&upstream]);
+    let mut idle = Client::to(sidecar.address);
+    assert_eq!(idle.ask("fetch").status(), 200);
+    assert_eq!(call(console, "PUT", "/api/evacuate").0, 200);
+    let text = request("fetch", 6_000);
+    let mut slow: Vec<Client> = [true, false]
+        .into_iter()
+        .map(|used| {
+            let mut client = Client::to(sidecar.address);
+            if used {
+                assert_eq!(client.get("/up").map(|up| up.status()), Some(503));
+                client = Client::to(sidecar.address);
+            }
+            client
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(600));
+    slow.iter_mut().for_each(|client| client.write(&text.as_bytes()[..50]));
+    assert_eq!(idle.read_to_close().expect("the idle one is closed"), b"");
+    // Longer than an idle one has.
+    std::thread::sleep(Duration::from_millis(900));
+    let ids = ["cccccccccccccccc", "dddddddddddddddd"];
+    for (client, id) in slow.iter_mut().zip(ids) {
+        let at = text.find("X-Request-ID: ").unwrap() + 14;
+        let text = format!("{}{id}{}", &text[..at], &text[at + 16..]);
+        client.write(&text.as_bytes()[50..]);
+        let answer = client.read().expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    }
+}
--- a/crates/cli/tests/sidecar.rs
+++ b/crates/cli/tests/sidecar.rs
@@ -732,3 +732,27 @@
     assert_eq!(client.read().expect("an answer").body, b"elsewhere");
     assert_eq!(written.load(Ordering::SeqCst), 0);
 }
+
+/// Clients may hold so many connections and no more: those that have asked once and keep theirs must not be all.
+#[test]
+fn clients_that_ask_once_and_keep_their_connection_leave_room_for_others() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let known = ready(&[&upstream]);
+    let discovery = Discovery::new(&known);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 256, SETTINGS));
+    sidecar.wait_up();
+    let mut regular = Client::to(sidecar.address);
+    assert_eq!(regular.ask("fetch").status(), 200);
+    let mut kept: std::collections::VecDeque<Client> = std::collections::VecDeque::new();
+    for count in 0..400 {
+        let mut client = Client::to(sidecar.address);
+        assert_eq!(client.ask("fetch").status(), 200);
+        kept.push_back(client);
+        // As many as the platform's clients may hold: the next one comes once another is closed.
+        if kept.len() == 60 {
+            let mut first = kept.pop_front().unwrap();
+            assert_eq!(first.read_to_close().expect("it is closed"), b"");
+        }
+        assert_eq!(regular.ask("fetch").header("connection"), None, "{count}: who uses theirs keeps it");
+    }
+}
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -48,6 +48,14 @@
 /// A connection is not closed for a newcomer before it has had no request open for this long: its last answer
 /// is on its way to the client, or its first request to the sidecar.
 const SETTLED: Duration = Duration::from_millis(100);
+/// Of the places this part is kept for connections that have been answered and are quiet. Some clients ask once and
+/// keep their connection for good, and the platform gives them all no more than a third of the descriptors: kept until
+/// they are idle for too long, those would be all that clients can have.
+const QUIET_PART: usize = 3;
+/// How often a connection that is to end is looked at while its client is in the middle of a head.
+const HALF_WAY: Duration = Duration::from_millis(50);
+/// A connection that has just been answered is not closed for that: its client may be about to use it again.
+const JUST_ANSWERED: Duration = Duration::from_millis(50);
 /// So many connections more may be closing to make room for others.
 const CLOSING: usize = 8;
 /// Ids of requests are no longer than this; they are kept while the request is open.
@@ -133,6 +141,27 @@
         slot.make_room.notify_one();
         true
     }
+
+    /// Has those closed that have been answered and quiet for longest, beyond so many. When to look again, if one of
+    /// them has just been answered.
+    fn trim(&self, most: usize) -> Option<Instant> {
+        if self.by_task.len() <= most {
+            return None;
+        }
+        let now = Instant::now();
+        let used = self.by_task.values().filter(|slot| slot.is_used());
+        let mut quiet: Vec<(Instant, &Arc<Slot>)> =
+            used.filter_map(|slot| Some((slot.quiet_since()?, slot))).collect();
+        let beyond = quiet.len().saturating_sub(most);
+        if beyond == 0 {
+            return None;
+        }
+        quiet.sort_unstable_by_key(|(since, _)| *since);
+        let (old, new): (Vec<_>, Vec<_>) =
+            quiet.iter().take(beyond).partition(|(since, _)| *since + JUST_ANSWERED <= now);
+        old.iter().for_each(|(_, slot)| slot.let_go.notify_one());
+        new.first().map(|(since, _)| *since + JUST_ANSWERED)
+    }
 }
 
 /// Accepts clients until the end: when it is closing, none is open and none waits to be accepted. A client that
@@ -144,6 +173,7 @@
     let mut slots = Slots { epoch: Instant::now(), by_task: HashMap::new() };
     let mut connections = JoinSet::new();
     let mut held = Some((listener, let_go));
+    let mut trim_at: Option<Instant> = None;
     loop {
         let now = *life.borrow_and_update();
         let (closing, handed_over) = (now.closes(), now.stage() == Stage::HandedOver);
@@ -170,6 +200,7 @@
                     if held.held() > held.limit() {
                         slots.make_room();
                     }
+                    trim_at = slots.trim(held.limit() / QUIET_PART);
                 }
                 Err(error) => {
                     front.log.line(format!("cannot accept: {error}"));
@@ -177,6 +208,9 @@
                     sleep(ACCEPT_BACK_OFF).await;
                 }
             },
+            () = sleep_until(trim_at.unwrap_or(slots.epoch)), if trim_at.is_some() => {
+                trim_at = slots.trim(front.connections.limit() / QUIET_PART);
+            }
             // All are busy, or closing already.
             () = sleep(ACCEPT_BACK_OFF), if !room && accepting => drop(slots.make_room()),
             // Nobody waits: else it would have been accepted.
@@ -221,6 +255,7 @@
     let idle = if now.closes() { IDLE_AT_END } else { IDLE };
     let service = service_fn(|request| {
         let number = heard.fetch_add(1, Ordering::Relaxed) + 1;
+        slot.used();
         let front = front.clone();
         async move {
             let mut response = if slot.is_doubled(number) {
@@ -271,8 +306,12 @@
                 }
             }
             () = sleep_until(ends_at.unwrap_or(accepted)), if ends_at.is_some() => {
-                ends_at = None;
-                connection.as_mut().graceful_shutdown();
+                let now = Instant::now();
+                // Who is in the middle of a head has the time that heads have.
+                ends_at = slot.head_since().filter(|began| *began + HEAD > now).map(|_| now + HALF_WAY);
+                if ends_at.is_none() {
+                    connection.as_mut().graceful_shutdown();
+                }
             }
             () = sleep_until(due), if !ending => match (slot.quiet_since(), slot.head_since()) {
                 (None, _) => {}
@@ -286,6 +325,13 @@
                     connection.as_mut().graceful_shutdown();
                 }
             },
+            () = slot.let_go.notified() => {
+                // Who has begun to ask again is not quiet.
+                if !slot.is_busy() && slot.head_since().is_none() && !ending {
+                    ending = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
             () = slot.make_room.notified() => {
                 // A request may have come in this very moment: it is answered first.
                 if !slot.is_busy() {
--- a/crates/sidecar/src/slot.rs
+++ b/crates/sidecar/src/slot.rs
@@ -1,7 +1,7 @@
 //! What is known of one client connection by those who look at it from outside: since when it has been quiet, and whether
 //! its client is in the middle of a head.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use tokio::sync::Notify;
 use tokio::time::{Duration, Instant};
@@ -21,8 +21,12 @@
     head_since: AtomicU64,
     /// The number of the first request that was framed in two ways.
     doubled: AtomicU64,
+    /// Whether it has carried a request.
+    used: AtomicBool,
     /// Told to make room.
     pub make_room: Notify,
+    /// Told that it has been quiet for too long, as things stand.
+    pub let_go: Notify,
 }
 
 impl Slot {
@@ -33,7 +37,9 @@
             quiet_since: AtomicU64::new(0),
             head_since: AtomicU64::new(NEVER),
             doubled: AtomicU64::new(0),
+            used: AtomicBool::new(false),
             make_room: Notify::new(),
+            let_go: Notify::new(),
         };
         slot.free();
         slot
@@ -47,6 +53,16 @@
         self.epoch + Duration::from_millis(millis)
     }
 
+    /// A request has come.
+    pub fn used(&self) {
+        self.used.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether one ever has.
+    pub fn is_used(&self) -> bool {
+        self.used.load(Ordering::Relaxed)
+    }
+
     /// A request is open from now on.
     pub fn busy(&self) {
         self.quiet_since.store(BUSY, Ordering::Relaxed);
