--- a/crates/cli/src/sidecar.rs
+++ b/crates/cli/src/sidecar.rs
@@ -12,6 +12,7 @@
 use sagemast_sidecar::config::Config;
 use sagemast_sidecar::console::Console;
 use sagemast_sidecar::crossing::Crossing;
+use sagemast_sidecar::division::Division;
 use sagemast_sidecar::driver::Told;
 use sagemast_sidecar::front;
 use sagemast_sidecar::handover::{self, Elder, Hold, Place};
@@ -70,7 +71,8 @@
         None => None,
     };
     let sidecars = config.settings.settings().sidecars;
-    let held = Budgets::with(config.connections(), config.transfers());
+    let Division { connections, transfers } = config.division()?;
+    let held = Budgets::with(connections, transfers);
     log.line(format!("listening on {address}"));
     let (instance, control) = Instance::new(Parts {
         seed: config.seed(),
--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -2,7 +2,7 @@
 
 mod loopback;
 
-use std::io::{Read, Write};
+use std::io::{BufRead, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Child;
 use std::sync::Arc;
@@ -336,3 +336,58 @@
         assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
     }
 }
+
+/// An upstream whose bill is long: its first half comes at once, the rest when the test says so.
+fn long_bills(go: &Arc<AtomicUsize>) -> Upstream {
+    let go = go.clone();
+    Upstream::new(move |message| {
+        if !message.line.starts_with("POST /bill") {
+            return Deed::ok("served");
+        }
+        let go = go.clone();
+        Deed::play(move |stream| {
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n").unwrap();
+            stream.write_all(&[b'x'; 200_000]).unwrap();
+            until("the test lets go", || go.load(Ordering::SeqCst) > 0);
+            stream.write_all(&[b'x'; 200_000]).unwrap();
+            true
+        })
+    })
+}
+
+#[test]
+fn a_transfer_under_way_outlasts_evacuation() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let upstream = long_bills(&go);
+    let (sidecar, _discovery, console) = operated(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    client.send("bill", 3_000);
+    assert!(!client.reader.fill_buf().unwrap().is_empty(), "it has begun");
+    let mut idle = Client::to(sidecar.address);
+    assert_eq!(idle.ask("fetch").status(), 200);
+    assert_eq!(call(console, "PUT", "/api/evacuate").0, 200);
+    assert_eq!(idle.read_to_close().expect("the idle one is closed"), b"");
+    assert_eq!(figures(console)["in_progress"], 1, "what still passes is in progress");
+    go.store(1, Ordering::SeqCst);
+    assert_eq!(client.read().expect("all of it").body.len(), 400_000);
+    assert_eq!(client.read_to_close().expect("and then the end"), b"");
+    until("it is through", || figures(console)["in_progress"] == 0);
+    assert_eq!(figures(console)["handled"]["bill"]["passed"], 1);
+    assert_eq!(call(console, "PUT", "/api/rejoin").0, 200);
+    assert_eq!(Client::to(sidecar.address).ask("fetch").header("connection"), None);
+}
+
+#[test]
+fn a_transfer_under_way_outlasts_sigterm() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let upstream = long_bills(&go);
+    let (mut sidecar, _discovery, _console) = operated(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    client.send("bill", 3_000);
+    assert!(!client.reader.fill_buf().unwrap().is_empty(), "it has begun");
+    sidecar.signal("-TERM");
+    sidecar.wait_log("finishing what is held");
+    go.store(1, Ordering::SeqCst);
+    assert_eq!(client.read().expect("all of it").body.len(), 400_000);
+    assert!(sidecar.wait_exit().success());
+}
--- a/crates/cli/tests/upgrade.rs
+++ b/crates/cli/tests/upgrade.rs
@@ -351,3 +351,81 @@
     assert!(has_said(&new, "goes on from 1 upstreams"));
     platform.tmp = short;
 }
+
+#[test]
+fn who_starts_beside_a_full_one_serves_with_what_is_left() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let wait = go.clone();
+    let upstreams: Vec<Upstream> = (0..20)
+        .map(|_| {
+            let wait = wait.clone();
+            Upstream::new(move |message| match message.line.starts_with("POST /bill") {
+                true => Deed::Wait(wait.clone()),
+                false => Deed::ok("served"),
+            })
+        })
+        .collect();
+    let platform = Platform::new(&upstreams.iter().collect::<Vec<_>>());
+    // 256 descriptors: 88 for two processes, 84 connections on each side for both together.
+    let small =
+        config(&platform.address.to_string(), platform.discovery.address, &platform.known, 256, SETTINGS);
+    let (text, _) = console_of(&small);
+    let mut old = platform.start_with(&text);
+    old.wait_log("serving");
+    let mut held: Vec<Client> = (0..60).map(|_| Client::to(platform.address)).collect();
+    held.iter_mut().for_each(|client| client.send("bill", 6_000));
+    let out = || upstreams.iter().map(|upstream| upstream.requests().len()).sum::<usize>();
+    until("some are out", || out() >= 20);
+    let (text, console) = console_of(&small);
+    let new = platform.start_with(&text);
+    new.wait_log("serving");
+    until("the old one knows", || has_said(&old, "a successor has begun"));
+    old.signal("-TERM");
+    old.signal("-HUP");
+    old.wait_log("finishing what is held");
+    new.signal("-HUP");
+    new.wait_log("discovery is at");
+    for _ in 0..30 {
+        assert_eq!(Client::to(platform.address).ask("fetch").status(), 200);
+    }
+    assert!(figure(console, "known_upstreams") == 20);
+    go.store(1, Ordering::SeqCst);
+    for client in &mut held {
+        let answer = client.read().expect("what was taken is answered");
+        assert!(matches!(answer.status(), 200 | 503), "{answer:?}");
+    }
+    assert!(old.wait_exit().success());
+}
+
+#[test]
+fn a_transfer_under_way_outlasts_the_upgrade() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let wait = go.clone();
+    let upstream = Upstream::new(move |message| {
+        let wait = wait.clone();
+        match message.line.starts_with("POST /bill") {
+            true => Deed::play(move |stream| {
+                std::io::Write::write_all(stream, b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n")
+                    .unwrap();
+                std::io::Write::write_all(stream, &[b'x'; 100_000]).unwrap();
+                until("the test lets go", || wait.load(Ordering::SeqCst) > 0);
+                std::io::Write::write_all(stream, &[b'x'; 100_000]).unwrap();
+                true
+            }),
+            false => Deed::ok("served"),
+        }
+    });
+    let platform = Platform::new(&[&upstream]);
+    let mut old = platform.start();
+    let mut client = Client::to(platform.address);
+    client.send("bill", 6_000);
+    assert!(!std::io::BufRead::fill_buf(&mut client.reader).unwrap().is_empty(), "it has begun");
+    let _new = platform.start();
+    until("the old one knows", || has_said(&old, "a successor has begun"));
+    old.signal("-TERM");
+    old.wait_log("finishing what is held");
+    assert_eq!(Client::to(platform.address).ask("fetch").status(), 200);
+    go.store(1, Ordering::SeqCst);
+    assert_eq!(client.read().expect("all of it").body.len(), 200_000);
+    assert!(old.wait_exit().success());
+}
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -6,9 +6,8 @@
 use sagemast_decide::settings::Config as SettingsObject;
 use serde::Deserialize;
 
-use crate::console::{OWN_DESCRIPTORS, PLACES};
+use crate::division::{Division, divide};
 use crate::hosts::HostList;
-use crate::transfer::limits::TRANSFER_KIB;
 
 /// The configuration file.
 #[derive(Deserialize)]
@@ -31,14 +30,18 @@
     pub known: Option<HostList>,
     /// The settings that the module and the wire share.
     pub settings: SettingsObject,
+    /// How many processes of this sidecar may run at once.
+    #[serde(skip, default = "one")]
+    pub processes: usize,
 }
 
-/// Descriptors for standard streams, the listener, discovery and the runtime.
-const OWN_SOCKETS: usize = 24;
-/// What a busy connection may hold: its buffer, a body each way, and the same again towards the upstream.
+fn one() -> usize {
+    1
+}
+
+/// What a busy connection of a daemon's instance may hold: its buffer, a body each way, and the same again towards the
+/// upstream.
 const CONNECTION_KIB: usize = 256;
-/// Fewer descriptors than this leave no room for connections on both sides.
-const MIN_SOCKETS: usize = 64;
 
 /// What the surroundings allow this process.
 #[derive(Deserialize)]
@@ -58,12 +61,8 @@
 }
 
 impl Limits {
-    /// How many connections there may be on each side, so that neither descriptors nor memory run out.
-    pub fn connections(&self) -> usize {
-        self.connections_beside(OWN_SOCKETS)
-    }
-
-    /// The same where so many descriptors are for other things.
+    /// How many connections an instance of a daemon may have on each side, where so many descriptors are for other
+    /// things.
     pub fn connections_beside(&self, own: usize) -> usize {
         let by_memory = self.memory_mb.saturating_mul(1024) / CONNECTION_KIB;
         (self.sockets.saturating_sub(own) / 2).min(by_memory).max(1)
@@ -87,29 +86,20 @@
         let shown = path.to_string_lossy().into_owned();
         let text = std::fs::read(&path).with_context(|| format!("cannot read {shown}"))?;
         let mut config = Config::parse(&text).with_context(|| format!("bad configuration in {shown}"))?;
-        if config.console.is_none() {
-            config.console = console_from_env()?;
-            if let Some(fault) = config.own_faults().into_iter().next() {
-                bail!("bad ROUTER_CONSOLE: {fault}");
-            }
+        config.console = config.console.or(console_from_env()?);
+        // Where somebody else holds the listening socket, two processes may run at once.
+        if std::env::var_os("ROUTER_SOCKET_FD").is_some_and(|text| !text.is_empty()) {
+            config.processes = 2;
+        }
+        match config.own_faults().into_iter().next() {
+            Some(fault) => bail!("bad configuration in {shown}, with what the environment adds: {fault}"),
+            None => Ok(config),
         }
-        Ok(config)
-    }
-
-    /// Descriptors that are for neither clients nor upstreams.
-    fn own_descriptors(&self) -> usize {
-        let console = if self.console.is_some() { PLACES + OWN_DESCRIPTORS } else { 0 };
-        OWN_SOCKETS + console
-    }
-
-    /// How many connections there may be on each side, so that neither descriptors nor memory run out.
-    pub fn connections(&self) -> usize {
-        self.limits.connections_beside(self.own_descriptors())
     }
 
-    /// How many bodies may pass through at once that are not held whole: half of the memory is for them.
-    pub fn transfers(&self) -> usize {
-        (self.limits.memory_mb.saturating_mul(1024) / 2 / TRANSFER_KIB).max(1)
+    /// What there is for connections and long bodies.
+    pub fn division(&self) -> Result<Division> {
+        divide(&self.limits, self.console.is_some(), self.processes).map_err(anyhow::Error::msg)
     }
 
     /// Reads and checks the text of a configuration.
@@ -137,11 +127,7 @@
         if self.console.is_some_and(|console| console == self.listen && console.port() != 0) {
             faults.push(format!("console: {} is where clients connect (listen)", self.listen));
         }
-        if self.limits.sockets < MIN_SOCKETS {
-            let text =
-                format!("limits.sockets is {}; at least {MIN_SOCKETS} are needed", self.limits.sockets);
-            faults.push(text);
-        }
+        faults.extend(divide(&self.limits, self.console.is_some(), self.processes).err());
         faults
     }
 
@@ -179,9 +165,10 @@
     #[test]
     fn a_minimal_configuration_is_enough() {
         let config = Config::parse(MINIMAL.as_bytes()).expect("it holds all that is needed");
-        assert_eq!(config.limits.connections(), 500);
-        let scarce = Limits { memory_mb: 16, ..config.limits };
-        assert_eq!(scarce.connections(), 64, "memory binds before sockets");
+        assert_eq!(config.division().unwrap().connections, 500);
+        let scarce =
+            Config::parse(MINIMAL.replace("{\"listen", "{\"limits\":{\"memory_mb\":16},\"listen").as_bytes());
+        assert_eq!(scarce.unwrap().division().unwrap().connections, 53, "memory binds before sockets");
         assert!(config.known.is_none());
     }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod counted;
 pub mod crossing;
 pub mod discovery;
+pub mod division;
 pub mod driver;
 pub mod front;
 pub mod handover;
--- a/crates/sidecar/src/transfer/limits.rs
+++ b/crates/sidecar/src/transfer/limits.rs
@@ -20,9 +20,6 @@
 /// An answer of unknown length that still comes after this long goes on as it comes: the first bytes are what a client
 /// waits for, and those that are short are whole by then.
 pub const COMING: Duration = Duration::from_millis(100);
-/// What a transfer may hold at once, in KiB: a buffer of hyper's on each side and the pieces between them.
-pub const TRANSFER_KIB: usize = 160;
-
 /// When a body that has come so far must be whole, or have brought more.
 pub fn body_by(head_at: Instant, bytes: u64) -> Instant {
     head_at + BODY + Duration::from_micros(bytes.saturating_mul(1_000_000) / LEAST_RATE)
