Reports and health leave the policy files for modules of their own

What a report tells of a server's capacity is reports.rs, ejection and trials health.rs: functions over values that reach into nothing else.

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -12,7 +12,9 @@
 use crate::api::*;
 use crate::crossing::{Attempt, CrossZone};
 use crate::fleet::{Fleet, Looks, Reach, Slot};
+use crate::health;
 use crate::probes::Purse;
+use crate::reports::{self, learn_kappa, learn_kind, settled_after, sound_in_flight};
 use crate::state::*;
 use crate::upload::Uploads;
 
@@ -37,16 +39,7 @@
 const STALE: Millis = 1_000.0;
 /// When more than this share of the reports that can tell are late, none is believed.
 const LATE: f64 = 0.1;
-/// In-flight is averaged over about this time, as servers average their utilisation.
-const MEANS_OVER: Millis = 700.0;
-/// From here on a server counts as saturated: in-flight / utilisation then only bounds κ from above.
-const SATURATED: f64 = 0.9;
-/// A rising κ is believed this much slower.
-const RISE: f64 = 0.1;
-/// Below this reported utilisation in-flight / utilisation is mostly rounding, but in-flight over this bounds
-/// κ from below.
-const UTILISATION_FLOOR: f64 = 0.1;
-/// Weight of a new sample in the slowness and the failure rate of one server.
+/// Weight of a new sample in the slowness of one server.
 const SMOOTH: f64 = 0.15;
 /// Weight of a new sample in what all servers or all arrivals feed.
 const SMOOTH_ALL: f64 = 0.02;
@@ -77,12 +70,6 @@
 const PATIENCE: f64 = 4.0;
 /// Time left to the aim when another attempt is tried, in service times.
 const RETRY_ROOM: f64 = 1.5;
-/// A server is ejected when its failure rate is this far above that of its peers.
-const EJECT_ABOVE: f64 = 0.4;
-/// At most this share of the servers may be ejected: if more look bad, we or the network may be at fault.
-const EJECT_SHARE: f64 = 0.4;
-/// First and longest time a server stays ejected before a trial.
-const EJECT_FOR: [Millis; 2] = [1_000.0, 8_000.0];
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
 /// From so many kinds of machine on, those that no server is of are forgotten.
@@ -93,9 +80,6 @@
 /// So many servers are looked at for a request at most. Up to that many the draw is exact: every pair with
 /// room is as likely as any other. Among more, one is missed where a share `f` has room by (1 - f)^LOOKS.
 const LOOKS: usize = 24;
-/// A server that says that it holds more has sent nonsense.
-const MOST_IN_FLIGHT: f64 = 1e9;
-
 /// The decision module of one sidecar. The same seed, settings and events give the same actions.
 #[derive(Debug)]
 pub struct Balancer {
@@ -756,78 +740,30 @@
 
     /// Takes in a server's own figures, which hold what was sent until it was asked, or all but these.
     fn take_report(&mut self, id: UpstreamId, report: Report, unheard: Option<(u64, usize)>) {
-        let sound = |m: &f64| (0.0..=MOST_IN_FLIGHT).contains(m);
-        let Some(in_flight) = report.in_flight.filter(sound) else { return };
+        let Some(in_flight) = sound_in_flight(&report) else { return };
         let (now, scale) = (self.now, self.scale());
-        let means_over = MEANS_OVER * scale;
+        let (until, utilisation) = (now + STALE * scale, report.utilisation.filter(|u| *u >= 0.0));
+        let early = now < *self.seen.first_at.get_or_insert(now) + settled_after(scale);
         let take = |upstream: &mut Upstream| {
-            // Utilisation is a running mean while in-flight is of the moment: only means of both may be
-            // divided.
-            let weight = 1.0 - (-(now - upstream.reported_at) / means_over).exp();
-            let unheard = unheard.unwrap_or((upstream.asked_from, upstream.since_asked));
-            upstream.reports(in_flight, now, now + STALE * scale, unheard);
-            upstream.utilisation = report.utilisation;
-            upstream.mean_in_flight += weight * (in_flight - upstream.mean_in_flight);
-            (weight, upstream.kind)
+            let weight =
+                reports::enter(upstream, (in_flight, report.utilisation), (now, until, scale), unheard);
+            if let Some(utilisation) = utilisation.filter(|_| !early) {
+                learn_kappa(upstream, utilisation, weight);
+            }
+            upstream.kind
         };
-        let Some((weight, kind)) = self.upstreams.change(id, take) else { return };
-        let Some(utilisation) = report.utilisation.filter(|u| *u >= 0.0) else { return };
-        // Servers that start with us begin their mean at 0: early ratios would call them huge.
-        if self.now < *self.seen.first_at.get_or_insert(self.now) + 2.0 * means_over {
-            return;
-        }
-        if utilisation < UTILISATION_FLOOR {
-            let raise = |upstream: &mut Upstream| {
-                let (least, known) =
-                    (upstream.mean_in_flight / UTILISATION_FLOOR, upstream.kappa.unwrap_or(1.0));
-                if least > known {
-                    let step = if upstream.kappa.is_some() { weight * RISE } else { 1.0 };
-                    upstream.kappa = Some(known + step * (least - known));
-                }
-            };
-            self.upstreams.change(id, raise);
-            return;
+        let Some(kind) = self.upstreams.change(id, take) else { return };
+        if let Some(utilisation) = utilisation.filter(|_| !early) {
+            learn_kind(&mut self.seen, kind, in_flight, utilisation);
         }
-        if utilisation < SATURATED {
-            self.seen.kinds.entry(kind).or_default().reported(in_flight, utilisation, SMOOTH_ALL);
-            self.seen.fleet.reported(in_flight, utilisation, SMOOTH_ALL);
-        }
-        // A queue is in the in-flight count, too, so a reading only bounds κ from above: it
-        // falls to the reading at once, but rises slowly, and not at all while all cores are busy.
-        let rise = if utilisation < SATURATED { weight * RISE } else { 0.0 };
-        self.upstreams.change(id, |upstream| {
-            let sample = (upstream.mean_in_flight / utilisation.min(1.0)).max(1.0);
-            let known = *upstream.kappa.get_or_insert(sample);
-            upstream.kappa = Some(known + (sample - known) * if sample < known { 1.0 } else { rise });
-        });
     }
 
-    /// Counts an outcome for or against a server: outlier ejection with half-open trials.
+    /// Counts an outcome for or against a server.
     fn judge(&mut self, id: UpstreamId, failed: bool, out: &mut Vec<Action>) {
-        let count = self.upstreams.serving() as f64;
-        let bar = EJECT_ABOVE + self.upstreams.failure_rate();
-        let may_eject =
-            count > 1.0 && self.upstreams.ejected() as f64 + 1.0 <= (EJECT_SHARE * count).max(1.0);
-        let (now, spread) = (self.now, 0.75 + 0.5 * self.rng.rand_float());
-        let eject = |wait: Millis| Health::Ejected { until: now + wait * spread, wait };
-        let weigh = |upstream: &mut Upstream| {
-            upstream.failure_rate += SMOOTH * (f64::from(u8::from(failed)) - upstream.failure_rate);
-            let (health, said) = match upstream.health {
-                Health::Ready if failed && may_eject && upstream.failure_rate > bar => {
-                    (eject(EJECT_FOR[0]), Some("ejected for failures"))
-                }
-                Health::Ejected { until, wait } if failed && now >= until => {
-                    (eject((wait * 2.0).min(EJECT_FOR[1])), None)
-                }
-                Health::Ejected { .. } if !failed && upstream.failure_rate < bar => {
-                    (Health::Ready, Some("back after trials"))
-                }
-                Health::Ready | Health::Ejected { .. } => return None,
-            };
-            (upstream.health, upstream.on_trial) = (health, false);
-            said
-        };
-        if let Some(said) = self.upstreams.change(id, weigh).flatten() {
+        let may_eject = health::may_eject(self.upstreams.ejected(), self.upstreams.serving());
+        let (peers, luck) = (self.upstreams.failure_rate(), self.rng.rand_float());
+        let how = (self.now, peers, may_eject, luck);
+        if let Some(said) = self.upstreams.change(id, |u| health::weigh(u, failed, how)).flatten() {
             out.push(Action::Log(format!("server {} is {said}", id.0)));
         }
     }
