--- a/crates/decide/src/giving_up.rs
+++ b/crates/decide/src/giving_up.rs
@@ -33,8 +33,6 @@
 const ANSWERS: f64 = 0.02;
 /// One that leaves even a probe unanswered is so much likelier to be silent.
 const NO_PROBE: f64 = 10.0;
-/// When an attempt is overdue is told anew after so many answers.
-const ANEW_AFTER: u32 = 16;
 /// An attempt is overdue when fewer than this share take as long; then its server is asked.
 const OVERDUE: f64 = 0.05;
 
@@ -43,16 +41,11 @@
 pub(crate) struct Law {
     bins: [f64; BINS],
     total: f64,
-    /// As of some answers ago: it takes a walk to tell.
-    overdue: f64,
-    since: u32,
 }
 
 impl Default for Law {
     fn default() -> Law {
-        let mut law = Law { bins: [0.0; BINS], total: 0.0, overdue: f64::INFINITY, since: 0 };
-        law.overdue = law.overdue_now();
-        law
+        Law { bins: [0.0; BINS], total: 0.0 }
     }
 }
 
@@ -83,10 +76,6 @@
         self.bins.iter_mut().for_each(|count| *count *= keep);
         self.bins[bin] += weight;
         self.total = self.total * keep + weight;
-        self.since += 1;
-        if self.since >= ANEW_AFTER {
-            (self.overdue, self.since) = (self.overdue_now(), 0);
-        }
     }
 
     /// An attempt was given up at so many times, where an answer would have come with such a chance: it would have been
@@ -115,10 +104,6 @@
 
     /// The multiple at which an attempt is overdue.
     pub fn overdue(&self) -> f64 {
-        self.overdue
-    }
-
-    fn overdue_now(&self) -> f64 {
         (0..BINS).map(end_of).find(|times| self.longer(*times) < OVERDUE).unwrap_or(f64::INFINITY)
     }
 }
@@ -218,10 +203,7 @@
     pub fn look_at(&self, law: &Law, out: f64, until: f64, elsewhere: f64, cost: f64) -> Option<f64> {
         let next = (out * STEP).max(FIRST * self.wait);
         let times = std::iter::successors(Some(next), |out| Some(out * STEP)).take(BINS);
-        // Where nothing speaks against its server there is nothing to weigh.
-        times
-            .take_while(|at| *at < until)
-            .find(|at| self.is_suspect(*at) && self.gain(law, *at, until - *at, elsewhere) > cost)
+        times.take_while(|at| *at < until).find(|at| self.gain(law, *at, until - *at, elsewhere) > cost)
     }
 }
 
