A first reading from a saturated server no longer passes for its capacity

Sends went to servers with a mean of 66 in flight whose capacity was taken for 50 (true: 2), so that their queue looked 1.1 deep. Fault: reports.rs, learn_kappa: 'get_or_insert' takes in flight over utilisation of a server in a jam as its capacity. Harmless to a sidecar that hears from a server all the time; with 100 that hear from each now and then, nearly every reading is a first one, and all send to the most crowded. Change: while all cores are busy a first reading sets nothing; the least that any server of a kind held so bounds the kind's. Ruled out: giving up (attempts timed out, were not cut), 'full' answers (none), connections refused (6 of 5,000).

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -420,9 +420,8 @@
     /// κ: from the server's own reports, which fade into those of its kind: a small sidecar hears from one
     /// server too seldom to know it. Before any report of the kind, its listed weight and the mean of all.
     pub(crate) fn kappa(&self, upstream: &Upstream) -> f64 {
-        let ratio = |kind: &Kind| (kind.reports > 0.0).then(|| kind.in_flight / kind.utilisation);
-        let listed = upstream.weight * ratio(&self.seen.fleet).unwrap_or(1.0);
-        let kind = self.seen.kinds.get(&upstream.kind).and_then(ratio).unwrap_or(listed);
+        let listed = upstream.weight * self.seen.fleet.kappa().unwrap_or(1.0);
+        let kind = self.seen.kinds.get(&upstream.kind).and_then(Kind::kappa).unwrap_or(listed);
         let reports = self.seen.kinds.get(&upstream.kind).map_or(0.0, |kind| kind.reports);
         let rounds = (reports - upstream.reported_after) / self.upstreams.known_of(upstream.kind);
         let fade = fade(self.now - upstream.reported_at, rounds, self.scale());
--- a/crates/decide/src/learnt.rs
+++ b/crates/decide/src/learnt.rs
@@ -51,6 +51,8 @@
     pub in_flight: f64,
     pub utilisation: f64,
     pub reports: f64,
+    /// The fewest that one held with all cores busy: as many cores it has at most.
+    pub held_when_busy: f64,
     /// Geometric running mean of its service time relative to the mean server's.
     pub pace: f64,
     pub answers: f64,
@@ -58,7 +60,14 @@
 
 impl Default for Kind {
     fn default() -> Kind {
-        Kind { in_flight: 0.0, utilisation: 0.0, reports: 0.0, pace: 1.0, answers: 0.0 }
+        Kind {
+            in_flight: 0.0,
+            utilisation: 0.0,
+            reports: 0.0,
+            held_when_busy: f64::INFINITY,
+            pace: 1.0,
+            answers: 0.0,
+        }
     }
 }
 
@@ -71,6 +80,20 @@
         self.utilisation += step * (utilisation - self.utilisation);
     }
 
+    /// A server holds so many while all of its cores are busy.
+    pub fn saturated(&mut self, in_flight: f64) {
+        self.held_when_busy = self.held_when_busy.min(in_flight.max(1.0));
+    }
+
+    /// κ of its mean server, as far as it is known: while none was heard of that had a core free, what the least crowded
+    /// of them held.
+    pub fn kappa(&self) -> Option<f64> {
+        match self.reports > 0.0 {
+            true => Some(self.in_flight / self.utilisation),
+            false => Some(self.held_when_busy).filter(|held| held.is_finite()),
+        }
+    }
+
     /// Averages in an answer's time relative to the mean server's.
     pub fn answered(&mut self, pace: f64, step: f64) {
         self.answers += 1.0;
--- a/crates/decide/src/memory.rs
+++ b/crates/decide/src/memory.rs
@@ -176,7 +176,7 @@
 
 impl KindMemory {
     fn of(kind: &Kind) -> KindMemory {
-        let Kind { in_flight, utilisation, reports, pace, answers } = *kind;
+        let Kind { in_flight, utilisation, reports, pace, answers, .. } = *kind;
         KindMemory { in_flight, utilisation, reports: reports.min(MOST), pace, answers: answers.min(MOST) }
     }
 
@@ -189,7 +189,7 @@
 
     fn kind(&self) -> Kind {
         let KindMemory { in_flight, utilisation, reports, pace, answers } = *self;
-        Kind { in_flight, utilisation, reports, pace, answers }
+        Kind { in_flight, utilisation, reports, pace, answers, ..Kind::default() }
     }
 }
 
--- a/crates/decide/src/reports.rs
+++ b/crates/decide/src/reports.rs
@@ -60,6 +60,11 @@
     // once, but rises slowly, and not at all while all cores are busy.
     let rise = if utilisation < SATURATED { weight * RISE } else { 0.0 };
     let sample = (upstream.mean_in_flight / utilisation.min(1.0)).max(1.0);
+    // A server that is first heard of in a jam has told nothing of its size: its whole queue would be taken for cores,
+    // and every sidecar that hears of it once would send it more. Its kind tells more.
+    if upstream.kappa.is_none() && utilisation >= SATURATED {
+        return;
+    }
     let known = *upstream.kappa.get_or_insert(sample);
     upstream.kappa = Some(known + (sample - known) * if sample < known { 1.0 } else { rise });
 }
@@ -69,5 +74,8 @@
     if (UTILISATION_FLOOR..SATURATED).contains(&utilisation) {
         seen.kinds.entry(kind).or_default().reported(in_flight, utilisation, SMOOTH_ALL);
         seen.fleet.reported(in_flight, utilisation, SMOOTH_ALL);
+    } else if utilisation >= SATURATED {
+        seen.kinds.entry(kind).or_default().saturated(in_flight);
+        seen.fleet.saturated(in_flight);
     }
 }
