Thin evidence: capacity leans on the kind, unheard servers take a typical load

A sidecar hears of 3 or 4 servers a second; one of them with 60 in flight made the mean, which stands in for the unheard, 5.5, and nobody unheard had room. And what was timed out had gone to servers whose capacity was taken for 6.6 (true: 2): of many single readings the one with the longest queue looks largest and wins. Change: the mean load is geometric (fleet.rs), so that it tells what a server is likely to hold; and a server's own readings of capacity weigh against five of its kind's (brain.rs, kappa). Each test was seen to fail without its change.

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -85,6 +85,8 @@
 const WITNESSES: usize = 16;
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
+/// What is known of a server's kind counts as so many readings of its own.
+const KIND_READINGS: f64 = 5.0;
 /// From so many kinds of machine on, those that no server is of are forgotten.
 const KINDS: usize = 64;
 /// Discovery is asked within this share of the time in which it must be; doubles with each failure.
@@ -425,7 +427,8 @@
         let reports = self.seen.kinds.get(&upstream.kind).map_or(0.0, |kind| kind.reports);
         let rounds = (reports - upstream.reported_after) / self.upstreams.known_of(upstream.kind);
         let fade = fade(self.now - upstream.reported_at, rounds, self.scale());
-        (kind + (upstream.kappa.unwrap_or(kind) - kind) * fade).max(0.1)
+        let trust = fade * upstream.readings / (upstream.readings + KIND_READINGS);
+        (kind + (upstream.kappa.unwrap_or(kind) - kind) * trust).max(0.1)
     }
 
     /// m: the last report and our sends since; an unheard server takes the mean m of the known ones.
--- a/crates/decide/src/fleet.rs
+++ b/crates/decide/src/fleet.rs
@@ -79,7 +79,7 @@
     ejected: bool,
     heard: bool,
     failure_rate: f64,
-    others_in_flight: f64,
+    others: f64,
 }
 
 #[derive(Debug)]
@@ -124,6 +124,12 @@
     }
 }
 
+/// What a server holds of others, as its logarithm: who hears of a few servers, one of them in a jam, would take all others
+/// for jammed by the plain mean, and refuse what they have room for.
+fn others(server: &Upstream) -> f64 {
+    (server.reported - server.outstanding.len() as f64).max(0.0).ln_1p()
+}
+
 /// All known servers.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -147,7 +153,7 @@
     ejected: usize,
     heard: usize,
     failure_rates: f64,
-    others_in_flight: f64,
+    others: f64,
     /// By kind of machine, how many there are.
     kinds: BTreeMap<KindId, usize>,
     lists: u64,
@@ -175,7 +181,7 @@
             ejected: 0,
             heard: 0,
             failure_rates: 0.0,
-            others_in_flight: 0.0,
+            others: 0.0,
             kinds: BTreeMap::new(),
             lists: 0,
             looks: 0,
@@ -281,10 +287,10 @@
         if self.serving > 0 { (self.failure_rates / self.serving as f64).max(0.0) } else { 0.0 }
     }
 
-    /// Means over those that were heard of late.
+    /// Means over those that were heard of late: geometric, so that they tell what a server is likely to hold.
     pub fn means(&self) -> Means {
-        let mean = if self.heard > 0 { self.others_in_flight / self.heard as f64 } else { 0.0 };
-        Means { in_flight: mean.max(0.0) }
+        let mean = if self.heard > 0 { self.others / self.heard as f64 } else { 0.0 };
+        Means { in_flight: mean.max(0.0).exp_m1() }
     }
 
     /// How many servers of a kind this sidecar hears from, as far as members are spread as all are.
@@ -431,7 +437,7 @@
             ejected: server.serving && server.health != Health::Ready,
             heard,
             failure_rate: if server.serving { server.failure_rate } else { 0.0 },
-            others_in_flight: if heard { server.reported - server.outstanding.len() as f64 } else { 0.0 },
+            others: if heard { others(server) } else { 0.0 },
         };
         let old = std::mem::replace(&mut entry.part, part);
         if part.serving {
@@ -477,10 +483,10 @@
         count(&mut self.ejected, old.ejected, part.ejected);
         count(&mut self.heard, old.heard, part.heard);
         self.failure_rates += part.failure_rate - old.failure_rate;
-        self.others_in_flight += part.others_in_flight - old.others_in_flight;
+        self.others += part.others - old.others;
         // Nothing adds up to nothing, whatever rounding has left.
         if self.heard == 0 {
-            self.others_in_flight = 0.0;
+            self.others = 0.0;
         }
         if self.serving == 0 {
             self.failure_rates = 0.0;
@@ -588,8 +594,7 @@
         assert_eq!(fleet.ejected, serving().filter(out).count());
         let heard = || serving().filter(|entry| entry.server.is_heard);
         assert_eq!(fleet.heard, heard().count());
-        let others = |entry: &Entry| entry.server.reported - entry.server.outstanding.len() as f64;
-        assert!((fleet.others_in_flight - heard().map(others).sum::<f64>()).abs() < 1e-6);
+        assert!((fleet.others - heard().map(|entry| others(&entry.server)).sum::<f64>()).abs() < 1e-6);
         assert!((fleet.failure_rates - serving().map(|e| e.server.failure_rate).sum::<f64>()).abs() < 1e-6);
         assert_eq!(fleet.kinds.values().sum::<usize>(), all().count());
         assert_eq!(fleet.size(Reach::All).1, serving().count());
--- a/crates/decide/src/memory.rs
+++ b/crates/decide/src/memory.rs
@@ -157,6 +157,7 @@
     fn restore(&self, upstream: &mut Upstream, now: Millis) {
         let at = |age: Option<Millis>| age.map_or(f64::NEG_INFINITY, |age| now - age);
         upstream.kappa = self.kappa;
+        upstream.readings = self.kappa.map_or(0.0, |_| MOST);
         upstream.mean_in_flight = self.mean_in_flight;
         upstream.utilisation = self.utilisation;
         upstream.reported = self.in_flight;
--- a/crates/decide/src/reports.rs
+++ b/crates/decide/src/reports.rs
@@ -65,6 +65,7 @@
     if upstream.kappa.is_none() && utilisation >= SATURATED {
         return;
     }
+    upstream.readings += 1.0;
     let known = *upstream.kappa.get_or_insert(sample);
     upstream.kappa = Some(known + (sample - known) * if sample < known { 1.0 } else { rise });
 }
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -88,6 +88,8 @@
     pub weight: f64,
     pub started: Option<Millis>,
     pub kappa: Option<f64>,
+    /// How many readings it rests on.
+    pub readings: f64,
     /// Running mean of the reports, and how busy the last one said that it is.
     pub mean_in_flight: f64,
     pub utilisation: Option<f64>,
@@ -191,6 +193,7 @@
             weight: entry.weight,
             started: entry.started,
             kappa: None,
+            readings: 0.0,
             mean_in_flight: 0.0,
             utilisation: None,
             reported: 0.0,
--- a/crates/decide/tests/pick.rs
+++ b/crates/decide/tests/pick.rs
@@ -91,11 +91,51 @@
             let (request, actions) = stage.arrive(REPEATABLE);
             let to = sent_to(&actions).expect("there is room");
             assert_ne!(to, UpstreamId(9), "{jam} in flight");
+            stage.event(Event::Abandoned(request));
             stage.finish(request, 0, to, Outcome::Cancelled, 1.0);
         }
     }
 }
 
+/// Guards against the winner's curse: of many servers that were heard of once, the one whose single reading held the longest
+/// queue looked the largest, and won every comparison.
+#[test]
+fn one_reading_makes_no_server_twice_as_large_as_its_kind() {
+    let mut stage = Stage::new(settings(), (1..=9).map(listing).collect());
+    stage.settle(&[1, 2, 3, 4, 5, 6, 7, 8], 3.0, 0.75);
+    stage.report(9, 8.0, 0.8);
+    for _ in 0..200 {
+        let (request, actions) = stage.arrive(REPEATABLE);
+        let to = sent_to(&actions).expect("there is room");
+        assert_ne!(to, UpstreamId(9));
+        stage.event(Event::Abandoned(request));
+        stage.finish(request, 0, to, Outcome::Cancelled, 1.0);
+    }
+}
+
+/// Guards against a lock-out: one jammed server among the few that are heard of made all the others look jammed, so that
+/// nine in ten requests were refused beside idle servers.
+#[test]
+fn one_jam_is_not_taken_for_a_jam_everywhere() {
+    let mut settings = settings();
+    settings.probe_fee = 1e9;
+    let mut stage = Stage::new(settings, (1..=8).map(listing).collect());
+    stage.settle(&[1, 2, 3, 4, 5, 6, 7, 8], 2.0, 0.5);
+    // Most of it says nothing any more.
+    stage.now += 5_000.0;
+    [1, 2, 3].iter().for_each(|id| stage.report(*id, 0.0, 0.0));
+    stage.report(4, 100.0, 1.0);
+    let mut unheard = 0;
+    for _ in 0..100 {
+        let (request, actions) = stage.arrive(REPEATABLE);
+        let to = sent_to(&actions).expect("there is room");
+        unheard += u32::from(to.0 > 4);
+        stage.event(Event::Abandoned(request));
+        stage.finish(request, 0, to, Outcome::Cancelled, 1.0);
+    }
+    assert!(unheard > 20, "{unheard} of 100 to servers that nothing speaks against");
+}
+
 /// Guards against late reports: one below what we have out there ourselves cannot be current.
 #[test]
 fn a_report_below_our_own_outstanding_is_not_believed() {
