A zone that cannot be reached is lost as a whole, and a lost server at once

What each learns too late: an ejection takes four failures of one server, and 40 % of them at most, so that 100 sidecars pay four attempts for each of 30 servers. Fault: health.rs, weigh. Change: outages.rs, a pure record of zones: three different servers in a row out of reach and no sign of life between them put the zone out of the draw; one probe asks it at once and then every 0.25 to 2 s; an answer, a probe or a new start in the list ends it. One server whose connection does not come up is ejected at once, whatever share is. Ruled out: connections refused for want of a place (none: all 3,440 timed out connecting). Both tests were seen to fail without their code.

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -14,7 +14,8 @@
 use crate::fleet::{Fleet, Looks, Reach, Slot};
 use crate::giving_up::Evidence;
 use crate::health;
-use crate::learnt::{Kind, Learnt, Service, fade};
+use crate::learnt::{Learnt, Service};
+use crate::outages::Outages;
 use crate::probes::Purse;
 use crate::reports::{self, learn_kappa, learn_kind, settled_after, sound_in_flight};
 use crate::state::*;
@@ -85,8 +86,6 @@
 const WITNESSES: usize = 16;
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
-/// What is known of a server's kind counts as so many readings of its own.
-const KIND_READINGS: f64 = 5.0;
 /// From so many kinds of machine on, those that no server is of are forgotten.
 const KINDS: usize = 64;
 /// Discovery is asked within this share of the time in which it must be; doubles with each failure.
@@ -111,6 +110,8 @@
     pub(crate) uploads: Uploads,
     watch: Watch,
     purse: Purse,
+    /// Zones that cannot be reached.
+    pub(crate) outages: Outages,
     /// In which order servers are taken into the subset, and how many.
     pub(crate) order: Order,
     size: Size,
@@ -140,6 +141,7 @@
             uploads: Uploads::default(),
             watch: Watch::default(),
             purse,
+            outages: Outages::default(),
             order,
             size: Size::default(),
             waiting: BTreeSet::new(),
@@ -387,7 +389,9 @@
             heard: upstream.is_heard,
             unsure: view.may_hold && self.now - upstream.reported_at > view.hold_after,
             // One that has just failed this request is the likeliest to fail it again.
-            healthy: self.takes_part(upstream) && held.tries.iter().all(|t| t.upstream != id),
+            healthy: self.takes_part(upstream)
+                && !self.outages.is_out(upstream.zone)
+                && held.tries.iter().all(|t| t.upstream != id),
             projected: (in_flight + 1.0) / kappa * slowness,
             depth,
             // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
@@ -419,16 +423,8 @@
         }
     }
 
-    /// κ: from the server's own reports, which fade into those of its kind: a small sidecar hears from one
-    /// server too seldom to know it. Before any report of the kind, its listed weight and the mean of all.
     pub(crate) fn kappa(&self, upstream: &Upstream) -> f64 {
-        let listed = upstream.weight * self.seen.fleet.kappa().unwrap_or(1.0);
-        let kind = self.seen.kinds.get(&upstream.kind).and_then(Kind::kappa).unwrap_or(listed);
-        let reports = self.seen.kinds.get(&upstream.kind).map_or(0.0, |kind| kind.reports);
-        let rounds = (reports - upstream.reported_after) / self.upstreams.known_of(upstream.kind);
-        let fade = fade(self.now - upstream.reported_at, rounds, self.scale());
-        let trust = fade * upstream.readings / (upstream.readings + KIND_READINGS);
-        (kind + (upstream.kappa.unwrap_or(kind) - kind) * trust).max(0.1)
+        self.seen.kappa(upstream, self.upstreams.known_of(upstream.kind), self.now, self.scale())
     }
 
     /// m: the last report and our sends since; an unheard server takes the mean m of the known ones.
@@ -460,13 +456,8 @@
         learnt.max(ageing).max(0.05)
     }
 
-    /// What answers told of its slowness; as that is forgotten, the slowness of its kind takes its place.
     fn remembered(&self, upstream: &Upstream) -> f64 {
-        let kind = self.seen.kinds.get(&upstream.kind).filter(|kind| kind.answers > 0.0);
-        let pace = kind.unwrap_or(&self.seen.fleet).pace;
-        let answers = kind.map_or(0.0, |kind| kind.answers) - upstream.learnt_after;
-        let rounds = answers / self.upstreams.known_of(upstream.kind);
-        pace + (upstream.slowness - pace) * fade(self.now - upstream.learnt_at, rounds, self.scale())
+        self.seen.slowness(upstream, self.upstreams.known_of(upstream.kind), self.now, self.scale())
     }
 
     fn takes_part(&self, upstream: &Upstream) -> bool {
@@ -484,6 +475,7 @@
     /// pair that was drawn before.
     fn draw(&mut self, held: &Held, out: &mut Vec<Action>) -> Option<([Candidate; 2], bool)> {
         self.know();
+        self.ask_zones(out);
         let reach = self.reach(held)?;
         let view = self.view(held);
         let before = self.asked_for(held, &view);
@@ -625,7 +617,7 @@
         self.upstreams.get(id).is_some_and(|upstream| upstream.serving)
     }
 
-    fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
+    pub(crate) fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
         let may_probe = self.settings.limits.probes && self.purse.can(1.0);
         let (now, next) = (self.now, self.next_send);
         let (fresh, lost) = (FRESH * self.scale(), STALE * self.scale());
@@ -838,6 +830,7 @@
         let Some(sent) = self.upstreams.change(id, |upstream| upstream.take(number)).flatten() else {
             return;
         };
+        self.tell_of_zone(id, outcome);
         let law = &mut self.seen.service[sent.class.0].law;
         let silent = known.map_or(0.0, |known| known.silent(law, latency));
         let mute = known.is_some_and(|known| !known.answers && latency >= MUTE * known.crowd * known.wait);
@@ -871,7 +864,7 @@
             Outcome::Cancelled if given_up && silent >= SILENT => true,
             _ => return self.upstreams.forget_gone(id),
         };
-        self.judge(id, failed, out);
+        self.judge(id, failed, outcome == Outcome::Unreachable, out);
         self.upstreams.forget_gone(id);
     }
 
@@ -904,6 +897,9 @@
 
     fn probed(&mut self, id: UpstreamId, answered: bool, report: Option<Report>, out: &mut Vec<Action>) {
         self.heard(id, answered, report);
+        if answered {
+            self.hear_from(id);
+        }
         let heard = |id: &UpstreamId| self.upstreams.get(*id).is_none_or(|u| u.probe_sent.is_none());
         let ready = |request: &RequestId| {
             self.requests.get(request).and_then(|held| held.pair).is_some_and(|pair| pair.iter().all(heard))
@@ -962,13 +958,14 @@
     }
 
     /// Counts an outcome for or against a server.
-    fn judge(&mut self, id: UpstreamId, failed: bool, out: &mut Vec<Action>) {
+    fn judge(&mut self, id: UpstreamId, failed: bool, lost: bool, out: &mut Vec<Action>) {
         // Of those that it knows: if more look bad, others are known in their place.
         let known = self.upstreams.size(Reach::Members).1;
-        let may_eject = health::may_eject(self.upstreams.ejected(), known);
+        let may_eject = lost || health::may_eject(self.upstreams.ejected(), known);
         let (peers, luck) = (self.upstreams.failure_rate(), self.rng.rand_float());
         let how = (self.now, peers, may_eject, luck);
-        if let Some(said) = self.upstreams.change(id, |u| health::weigh(u, failed, how)).flatten() {
+        let weigh = |u: &mut Upstream| health::weigh(u, failed, lost, how);
+        if let Some(said) = self.upstreams.change(id, weigh).flatten() {
             out.push(Action::Log(format!("server {} is {said}", id.0)));
         }
     }
@@ -982,10 +979,10 @@
             // Who is missing from a complete list is gone.
             ListNews::Restored(list) | ListNews::Complete(list) => {
                 self.upstreams.begin_list();
-                list.iter().for_each(|entry| self.upstreams.list(entry));
+                list.iter().for_each(|entry| self.list(entry));
                 self.upstreams.end_list();
             }
-            ListNews::Changed(list) => list.iter().for_each(|entry| self.upstreams.list(entry)),
+            ListNews::Changed(list) => list.iter().for_each(|entry| self.list(entry)),
             ListNews::Unavailable => out.push(Action::Log("server list unavailable".to_owned())),
         }
         if self.seen.kinds.len() > KINDS {
--- a/crates/decide/src/cold.rs
+++ b/crates/decide/src/cold.rs
@@ -41,6 +41,9 @@
 
     /// How a server stands for this sidecar.
     pub(crate) fn standing(&self, server: &Upstream) -> Standing {
+        if self.outages.is_out(server.zone) {
+            return Standing::Out;
+        }
         if server.warmth(self.now, &self.settings.safety) >= 1.0 {
             return Standing::Warm;
         }
--- a/crates/decide/src/fleet.rs
+++ b/crates/decide/src/fleet.rs
@@ -55,6 +55,8 @@
 pub(crate) enum Standing {
     /// It takes what it is sent.
     Warm,
+    /// Its zone is out.
+    Out,
     /// It is cold, and of its allowance a part is ours, or none.
     Cold { ours: bool },
 }
@@ -218,6 +220,7 @@
                         cold.push(slot);
                         ours
                     }
+                    Standing::Out => left > 0,
                     Standing::Warm => {
                         let before = left > 0;
                         left -= usize::from(before && entry.server.health == Health::Ready);
@@ -243,6 +246,11 @@
         self.changed = false;
     }
 
+    /// How servers stand has changed: members have to be told anew.
+    pub fn unsettle(&mut self) {
+        self.changed = true;
+    }
+
     /// Whether this sidecar knows a server now.
     pub fn is_member(&self, id: UpstreamId) -> bool {
         self.slot(id).and_then(|slot| self.entries[slot].as_ref()).is_some_and(|entry| entry.member)
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -19,18 +19,20 @@
 }
 
 /// Counts an outcome for or against a server, among peers that fail as often. What is to be said of it, if its health
-/// changes. `luck` is between 0 and 1.
+/// changes. One that is `lost`, for no connection to it comes up, is ejected at once: that is no matter of chance, and one
+/// more request would only wait for it again. `luck` is between 0 and 1.
 pub(crate) fn weigh(
     upstream: &mut Upstream,
     failed: bool,
+    lost: bool,
     (now, peers, may_eject, luck): (Millis, f64, bool, f64),
 ) -> Option<&'static str> {
     let (bar, spread) = (EJECT_ABOVE + peers, 0.75 + 0.5 * luck);
     let eject = |wait: Millis| Health::Ejected { until: now + wait * spread, wait };
     upstream.failure_rate += SMOOTH * (f64::from(u8::from(failed)) - upstream.failure_rate);
     let (health, said) = match upstream.health {
-        Health::Ready if failed && may_eject && upstream.failure_rate > bar => {
-            (eject(EJECT_FOR[0]), Some("ejected for failures"))
+        Health::Ready if failed && may_eject && (lost || upstream.failure_rate > bar) => {
+            (eject(EJECT_FOR[0]), Some(if lost { "out of reach" } else { "ejected for failures" }))
         }
         Health::Ejected { until, wait } if failed && now >= until => {
             (eject((wait * 2.0).min(EJECT_FOR[1])), None)
--- a/crates/decide/src/learnt.rs
+++ b/crates/decide/src/learnt.rs
@@ -4,6 +4,7 @@
 
 use crate::api::*;
 use crate::giving_up::{Law, Silence};
+use crate::state::Upstream;
 
 /// What was learnt of a server fades over this time at the soonest when nothing new is learnt,
 const FORGET: Millis = 2_000.0;
@@ -12,6 +13,9 @@
 /// and over this time at the latest: about as long as troubles last.
 const LONGEST: Millis = 20_000.0;
 
+/// What is known of a server's kind counts as so many readings of its own.
+const KIND_READINGS: f64 = 5.0;
+
 /// What is known of one class, times from answers that met no queue.
 #[derive(Debug, Clone)]
 pub(crate) struct Service {
@@ -40,7 +44,7 @@
 
 /// How much of what was learnt still counts: it is worth less with each answer that could have contradicted it, a share of
 /// `rounds` of them, but no less than its `age` alone makes it, and nothing after the longest age.
-pub(crate) fn fade(age: Millis, rounds: f64, scale: f64) -> f64 {
+fn fade(age: Millis, rounds: f64, scale: f64) -> f64 {
     (-(age / (FORGET * scale)).min((rounds / ROUNDS).max(age / (LONGEST * scale)))).exp()
 }
 
@@ -152,4 +156,27 @@
             ask_pending: false,
         }
     }
+
+    /// κ of a server: from its own reports, which fade into those of its kind, of which so many are heard from: a small
+    /// sidecar hears from one server too seldom to know it. Before any report of the kind, its listed weight and the mean
+    /// of all.
+    pub fn kappa(&self, upstream: &Upstream, known: f64, now: Millis, scale: f64) -> f64 {
+        let listed = upstream.weight * self.fleet.kappa().unwrap_or(1.0);
+        let of_kind = self.kinds.get(&upstream.kind);
+        let kind = of_kind.and_then(Kind::kappa).unwrap_or(listed);
+        let reports = of_kind.map_or(0.0, |kind| kind.reports);
+        let rounds = (reports - upstream.reported_after) / known;
+        let trust = upstream.readings / (upstream.readings + KIND_READINGS);
+        let trust = trust * fade(now - upstream.reported_at, rounds, scale);
+        (kind + (upstream.kappa.unwrap_or(kind) - kind) * trust).max(0.1)
+    }
+
+    /// What answers told of a server's slowness; as that is forgotten, the slowness of its kind, of which so many are heard
+    /// from, takes its place.
+    pub fn slowness(&self, upstream: &Upstream, known: f64, now: Millis, scale: f64) -> f64 {
+        let kind = self.kinds.get(&upstream.kind).filter(|kind| kind.answers > 0.0);
+        let pace = kind.unwrap_or(&self.fleet).pace;
+        let rounds = (kind.map_or(0.0, |kind| kind.answers) - upstream.learnt_after) / known;
+        pace + (upstream.slowness - pace) * fade(now - upstream.learnt_at, rounds, scale)
+    }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -10,6 +10,7 @@
 mod health;
 mod learnt;
 pub mod memory;
+mod outages;
 mod probes;
 mod query;
 mod reports;
--- a/crates/decide/tests/health.rs
+++ b/crates/decide/tests/health.rs
@@ -422,3 +422,59 @@
     let (_, actions) = stage.arrive(REPEATABLE);
     assert!(sent_to(&actions).is_some(), "nothing else could tell that it is quick again: {actions:?}");
 }
+
+/// Guards against a zone that is lost server by server: each sidecar paid four lost attempts for each of its servers, half of
+/// all that were sent.
+#[test]
+fn a_zone_that_cannot_be_reached_is_lost_as_a_whole() {
+    let in_zone = |id: u64| Listing { zone: ZoneId(id % 2), cell: CellId(id % 2), ..listing(id) };
+    let mut stage = Stage::new(settings(), (1..=40).map(in_zone).collect());
+    let (mut lost, mut asked) = (0, Vec::new());
+    let mut play = |stage: &mut Stage, out: bool| {
+        stage.now += 5.0;
+        let (request, mut actions) = stage.arrive(REPEATABLE);
+        for attempt in 0.. {
+            asked.extend(actions.iter().filter_map(|action| match action {
+                Action::Probe(id) if id.0 % 2 == 1 => Some(*id),
+                _ => None,
+            }));
+            let Some(to) = sent_to(&actions) else { break };
+            let outcome = if out && to.0 % 2 == 1 { Outcome::Unreachable } else { Outcome::Ok };
+            lost += u32::from(to.0 % 2 == 1);
+            actions = stage.finish(request, attempt, to, outcome, 20.0);
+        }
+        (lost, asked.last().copied())
+    };
+    let (mut first, mut last) = (0, None);
+    for _ in 0..200 {
+        (first, last) = play(&mut stage, true);
+    }
+    assert!(first <= 3, "{first} attempts were lost");
+    // It is asked, and answers.
+    let asked = last.expect("it is asked");
+    stage.probed(asked.0, 0.0, 0.0);
+    stage.now += 2_000.0;
+    let mut after = 0;
+    for _ in 0..50 {
+        (after, _) = play(&mut stage, false);
+    }
+    assert!(after > first + 10, "it is used again: {after} from {first}");
+}
+
+/// Guards against the same for one server: a connection that does not come up is no matter of chance.
+#[test]
+fn a_server_out_of_reach_is_left_alone_at_once() {
+    let mut stage = Stage::new(settings(), (1..=3).map(listing).collect());
+    let mut lost = 0;
+    for _ in 0..50 {
+        stage.now += 5.0;
+        let (request, mut actions) = stage.arrive(REPEATABLE);
+        for attempt in 0.. {
+            let Some(to) = sent_to(&actions) else { break };
+            lost += u32::from(to.0 == 1);
+            let outcome = if to.0 == 1 { Outcome::Unreachable } else { Outcome::Ok };
+            actions = stage.finish(request, attempt, to, outcome, 20.0);
+        }
+    }
+    assert_eq!(lost, 1);
+}
