A new server nobody has heard of is not taken for as crowded as the old ones

Fault: brain.rs, in_flight: an unheard server takes the mean load of those heard of, which are the crowded old ones; so a new one was neither idle nor had room, and its owners refused beside it. What all do: 100 sidecars learn the same of old servers and leave the new ones empty. Change: an unheard cold server holds what we sent it: the allowance keeps what all others send to what it surely does. The test was seen to fail without the change.

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -431,7 +431,9 @@
     fn in_flight(&self, upstream: &Upstream, means: &Means) -> f64 {
         let own = upstream.outstanding.len() as f64;
         if !upstream.is_heard || self.seen.lateness > LATE {
-            return means.in_flight + own;
+            // What all send to a cold one is kept to what it surely does: others' queues are not its.
+            let cold = upstream.warmth(self.now, &self.settings.safety) < 1.0;
+            return own + if cold { 0.0 } else { means.in_flight };
         }
         // A report below what we ourselves have out there is old, whatever it says.
         (upstream.reported + upstream.since_counted as f64).max(own)
--- a/crates/decide/tests/cold.rs
+++ b/crates/decide/tests/cold.rs
@@ -105,3 +105,27 @@
         }
     }
 }
+
+/// Guards against a release in a rush: old servers were crowded, new ones nobody had heard of were taken for as crowded, and
+/// half of all requests were refused beside empty servers whose allowance was not used.
+#[test]
+fn a_new_server_is_not_taken_for_as_crowded_as_the_old_ones() {
+    let settings = Settings { probe_fee: 1e9, ..settings() };
+    let mut stage = Stage::new(settings, (1..=4).map(listing).collect());
+    stage.settle(&[1, 2, 3, 4], 3.0, 0.75);
+    [1, 2, 3, 4].iter().for_each(|id| stage.report(*id, 40.0, 1.0));
+    let new = (5..=12).map(|id| Listing { started: Some(stage.now), ..listing(id) }).collect();
+    stage.event(Event::Listed(ListNews::Changed(new)));
+    let mut used = 0;
+    for _ in 0..40 {
+        stage.now += 5.0;
+        let (request, actions) = stage.arrive(REPEATABLE);
+        if let Some(to) = sent_to(&actions) {
+            assert!(to.0 > 4, "it has no room");
+            used += 1;
+            stage.event(Event::Abandoned(request));
+            stage.finish(request, 0, to, Outcome::Cancelled, 1.0);
+        }
+    }
+    assert!(used >= 8, "{used} of 40");
+}
