--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -16,6 +16,7 @@
 use crate::health;
 use crate::learnt::{Learnt, Service};
 use crate::outages::Outages;
+use crate::overdue::MUTE;
 use crate::probes::Purse;
 use crate::reports::{self, learn_kappa, learn_kind, settled_after, sound_in_flight};
 use crate::state::*;
@@ -42,8 +43,6 @@
 const HELD_ROOM: f64 = 0.6;
 /// A report older than this says nothing any more; the mean of the known servers stands in.
 const STALE: Millis = 1_000.0;
-/// When more than this share of the reports that can tell are late, none is believed.
-const LATE: f64 = 0.1;
 /// Weight of a new sample in the slowness of one server.
 const SMOOTH: f64 = 0.15;
 /// Weight of a new sample in what all servers or all arrivals feed.
@@ -69,21 +68,8 @@
 const RETRY_BURST: f64 = 10.0;
 /// A refused client is asked to stay away for up to this share of its aim.
 const RETRY_AFTER: f64 = 0.3;
-/// Time left to the aim when another attempt is tried, where that is set beforehand, in service times.
-const RETRY_ROOM: f64 = 1.5;
-/// A keyed request that was given up may yet run after its window: that much more has to be won.
-const KEYED_COST: f64 = 0.3;
-/// A probe that takes so many times what they take of late is unanswered.
-const UNANSWERED: f64 = 10.0;
 /// From this chance on that a server was silent it counts as a failure of its.
 const SILENT: f64 = 0.5;
-/// One that is overdue is looked at again after so many times as long, and not before this.
-const LOOKS_APART: f64 = 1.5;
-const LOOK_AGAIN: Millis = 1.0;
-/// One that answered nothing in so many times what answers take of late hangs.
-const MUTE: f64 = 4.0;
-/// No more than so many unanswered requests are taken for evidence.
-const WITNESSES: usize = 16;
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
 /// From so many kinds of machine on, those that no server is of are forgotten.
@@ -108,7 +94,7 @@
     pub(crate) sends: FxHashMap<(RequestId, AttemptNo), (u64, UpstreamId)>,
     pub(crate) next_send: u64,
     pub(crate) uploads: Uploads,
-    watch: Watch,
+    pub(crate) watch: Watch,
     purse: Purse,
     /// Zones that cannot be reached.
     pub(crate) outages: Outages,
@@ -430,7 +416,7 @@
     /// m: the last report and our sends since; an unheard server takes the mean m of the known ones.
     fn in_flight(&self, upstream: &Upstream, means: &Means) -> f64 {
         let own = upstream.outstanding.len() as f64;
-        if !upstream.is_heard || self.seen.lateness > LATE {
+        if !upstream.is_heard || !self.seen.believes() {
             // What all send to a cold one is kept to what it surely does: others' queues are not its.
             let cold = upstream.warmth(self.now, &self.settings.safety) < 1.0;
             return own + if cold { 0.0 } else { means.in_flight };
@@ -443,7 +429,7 @@
     /// since.
     fn says_idle(&self, upstream: &Upstream) -> bool {
         let sent = upstream.since_counted as f64;
-        let believed = upstream.is_heard && self.seen.lateness <= LATE && sent <= upstream.reported + 1.0;
+        let believed = upstream.is_heard && self.seen.believes() && sent <= upstream.reported + 1.0;
         upstream.kappa.is_none() && believed && upstream.utilisation.is_some_and(|u| u < IDLE)
     }
 
@@ -458,7 +444,7 @@
         learnt.max(ageing).max(0.05)
     }
 
-    fn remembered(&self, upstream: &Upstream) -> f64 {
+    pub(crate) fn remembered(&self, upstream: &Upstream) -> f64 {
         self.seen.slowness(upstream, self.upstreams.known_of(upstream.kind), self.now, self.scale())
     }
 
@@ -674,111 +660,6 @@
         out.push(Action::Send { request, upstream: to.id, timeout });
     }
 
-    /// Long enough for this attempt, short enough for another to make the aim.
-    fn timeout(&self, held: &Held, to: Candidate) -> Millis {
-        let spare = self.aim_left(held) - RETRY_ROOM * self.seen.service[held.class.0].time;
-        spare.max(MUTE * self.seen.silence.crowd() * to.wait)
-    }
-
-    fn no_evidence(&self) -> Evidence {
-        let (silence, crowd) = (self.seen.silence.share(), self.seen.silence.crowd());
-        Evidence { wait: 1.0, others: 1.0, silence, failing: 0.0, crowd, answers: false, no_probe: false }
-    }
-
-    /// Whether there may be another attempt after so many, somewhere else.
-    fn may_go_on(&self, held: &Held, attempts: usize) -> bool {
-        let class = &self.settings.classes[held.class.0];
-        (attempts as u32) < self.settings.limits.max_attempts
-            && class.effect != Effect::Once
-            && self.seen.retry_tokens >= 1.0
-            && self.reach(held).is_some_and(|reach| self.upstreams.size(reach).1 > 1)
-    }
-
-    /// What giving up an attempt of a request has to win.
-    fn cost(&self, held: &Held) -> f64 {
-        let keyed = matches!(self.settings.classes[held.class.0].effect, Effect::ByKey { .. });
-        self.settings.attempt_fee + if keyed { KEYED_COST } else { 0.0 }
-    }
-
-    /// When to look at an attempt that has been out for so long, counted from its start.
-    fn next_look(&self, held: &Held, known: &Evidence, out: Millis) -> Option<Millis> {
-        let class = &self.seen.service[held.class.0];
-        let until = out + self.aim_left(held);
-        let gains = known.look_at(&class.law, out, until, class.wait, self.cost(held));
-        // When it is overdue its server is asked; and now and then from there on there may be more to go by.
-        let again = (LOOKS_APART * out).max(class.law.overdue() * known.crowd * known.wait);
-        let ask = Some(again).filter(|at| *at < until);
-        gains.into_iter().chain(ask).reduce(f64::min)
-    }
-
-    /// Looks at an attempt that takes long: it is given up if elsewhere an answer is likelier in time, else
-    /// its server is asked.
-    fn look_after(&mut self, request: RequestId, out: &mut Vec<Action>) {
-        let Some(held) = self.requests.get_mut(&request) else { return };
-        held.look_at = None;
-        let held = held.clone();
-        let Some((number, this)) = held.tries.iter().enumerate().next_back().filter(|(_, t)| t.out) else {
-            return;
-        };
-        let attempt = AttemptNo(number as u32);
-        let Some((known, taken)) = self.evidence(request, attempt) else { return };
-        let class = &self.seen.service[held.class.0];
-        let gain = known.gain(&class.law, taken, self.aim_left(&held), class.wait);
-        if gain > self.cost(&held) && self.may_go_on(&held, held.tries.len()) {
-            if let Some(this) = self.requests.get_mut(&request).and_then(|held| held.tries.get_mut(number)) {
-                this.given_up = true;
-            }
-            return out.push(Action::Cancel { request, attempt });
-        }
-        // Never in the same moment again.
-        let look = self.next_look(&held, &known, taken).map(|at| self.now + (at - taken).max(LOOK_AGAIN));
-        if let Some(held) = self.requests.get_mut(&request) {
-            held.look_at = look;
-            self.watch.set(request, None, look);
-        }
-        self.probe(this.upstream, out);
-    }
-
-    /// What is known of an attempt that is out, and for how long it has been.
-    fn evidence(&self, request: RequestId, attempt: AttemptNo) -> Option<(Evidence, Millis)> {
-        let &(number, id) = self.sends.get(&(request, attempt))?;
-        let upstream = self.upstreams.get(id)?;
-        let this = upstream.outstanding.get(number)?;
-        Some((self.evidence_of(upstream, number, &this), self.now - this.sent))
-    }
-
-    fn evidence_of(&self, upstream: &Upstream, number: u64, this: &Outstanding) -> Evidence {
-        let longer = |sent: &Outstanding| {
-            self.seen.service[sent.class.0].law.longer((self.now - sent.sent) / sent.wait)
-        };
-        // A server answers as many at once as it has cores: of those that wait, so many tell for themselves.
-        let kappa = self.kappa(upstream);
-        let since = upstream
-            .outstanding
-            .latest()
-            .filter(|(n, sent)| *n != number && sent.sent > upstream.answered_at);
-        let mut others: Vec<f64> = since.take(WITNESSES).map(|(_, sent)| longer(sent)).collect();
-        others.sort_by(f64::total_cmp);
-        let others = others.iter().take((kappa as usize).saturating_sub(1)).product();
-        // A queue that it has told of since explains what was not foreseen.
-        let warmth = upstream.warmth(self.now, &self.settings.safety);
-        let queue = (upstream.reported + 1.0) / kappa;
-        let told = (upstream.reported_at > this.sent && self.seen.lateness <= LATE).then_some(queue.max(1.0));
-        let now = told.map_or(0.0, |depth| {
-            self.seen.service[this.class.0].time * self.remembered(upstream) / warmth * depth
-        });
-        let late =
-            |sent: Millis| self.seen.probe_time.is_some_and(|time| self.now - sent > UNANSWERED * time);
-        Evidence {
-            wait: this.wait.max(now),
-            others,
-            failing: upstream.failure_rate,
-            answers: upstream.answered_at > this.sent,
-            no_probe: upstream.probe_sent.is_some_and(late),
-            ..self.no_evidence()
-        }
-    }
-
     /// Goes on with the request after an attempt has ended.
     fn finished(&mut self, end: Finished, out: &mut Vec<Action>) {
         let (request, outcome) = (end.request, end.outcome);
--- a/crates/decide/src/learnt.rs
+++ b/crates/decide/src/learnt.rs
@@ -13,6 +13,8 @@
 /// and over this time at the latest: about as long as troubles last.
 const LONGEST: Millis = 20_000.0;
 
+/// When more than this share of the reports that can tell are late, none is believed.
+const LATE: f64 = 0.1;
 /// What is known of a server's kind counts as so many readings of its own.
 const KIND_READINGS: f64 = 5.0;
 
@@ -157,6 +159,11 @@
         }
     }
 
+    /// Whether reports are believed.
+    pub fn believes(&self) -> bool {
+        self.lateness <= LATE
+    }
+
     /// κ of a server: from its own reports, which fade into those of its kind, of which so many are heard from: a small
     /// sidecar hears from one server too seldom to know it. Before any report of the kind, its listed weight and the mean
     /// of all.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,6 +11,7 @@
 mod learnt;
 pub mod memory;
 mod outages;
+mod overdue;
 mod probes;
 mod query;
 mod reports;
