A zone says itself whether it is out; what only overdue.rs uses is private to it

Read once more: the same condition stood four times in outages.rs, and two functions were open to the crate without need. Behaviour and assertions stay; all tests of the module pass.

--- a/crates/decide/src/outages.rs
+++ b/crates/decide/src/outages.rs
@@ -25,6 +25,12 @@
     wait: Millis,
 }
 
+impl Zone {
+    fn is_out(&self) -> bool {
+        self.lost.len() >= WITNESSES
+    }
+}
+
 /// Which zones are out, as far as one sidecar can tell. At most one entry for each zone that it has servers in.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Outages {
@@ -36,7 +42,7 @@
     pub fn lost(&mut self, zone: ZoneId, id: UpstreamId, now: Millis) {
         let nothing = Zone { lost: Vec::new(), ask_at: now, wait: ASK_AFTER[0] };
         let known = self.zones.entry(zone).or_insert(nothing);
-        if known.lost.len() < WITNESSES && !known.lost.contains(&id) {
+        if !known.is_out() && !known.lost.contains(&id) {
             known.lost.push(id);
             known.ask_at = now;
         }
@@ -44,24 +50,23 @@
 
     /// Something came from a zone, or was told of it, that a dead one could not have sent. Whether it was out.
     pub fn lives(&mut self, zone: ZoneId) -> bool {
-        self.zones.remove(&zone).is_some_and(|known| known.lost.len() >= WITNESSES)
+        self.zones.remove(&zone).is_some_and(|known| known.is_out())
     }
 
     /// Whether a zone is out.
     pub fn is_out(&self, zone: ZoneId) -> bool {
-        self.zones.get(&zone).is_some_and(|known| known.lost.len() >= WITNESSES)
+        self.zones.get(&zone).is_some_and(Zone::is_out)
     }
 
     /// Whether any is.
     pub fn any(&self) -> bool {
-        self.zones.values().any(|known| known.lost.len() >= WITNESSES)
+        self.zones.values().any(Zone::is_out)
     }
 
     /// The zones that are to be asked now. Each is asked again after twice as long, times `luck` between 0.5 and 1: all
     /// sidecars have noticed together.
     pub fn due(&mut self, now: Millis, luck: f64) -> Vec<ZoneId> {
-        let out =
-            self.zones.iter_mut().filter(|(_, known)| known.lost.len() >= WITNESSES && known.ask_at <= now);
+        let out = self.zones.iter_mut().filter(|(_, known)| known.is_out() && known.ask_at <= now);
         let ask = |(zone, known): (&ZoneId, &mut Zone)| {
             known.ask_at = now + known.wait * luck;
             known.wait = (2.0 * known.wait).min(ASK_AFTER[1]);
--- a/crates/decide/src/overdue.rs
+++ b/crates/decide/src/overdue.rs
@@ -41,7 +41,7 @@
     }
 
     /// What giving up an attempt of a request has to win.
-    pub(crate) fn cost(&self, held: &Held) -> f64 {
+    fn cost(&self, held: &Held) -> f64 {
         let keyed = matches!(self.settings.classes[held.class.0].effect, Effect::ByKey { .. });
         self.settings.attempt_fee + if keyed { KEYED_COST } else { 0.0 }
     }
@@ -86,7 +86,7 @@
     }
 
     /// What is known of an attempt that is out, and for how long it has been.
-    pub(crate) fn evidence(&self, request: RequestId, attempt: AttemptNo) -> Option<(Evidence, Millis)> {
+    fn evidence(&self, request: RequestId, attempt: AttemptNo) -> Option<(Evidence, Millis)> {
         let &(number, id) = self.sends.get(&(request, attempt))?;
         let upstream = self.upstreams.get(id)?;
         let this = upstream.outstanding.get(number)?;
