Lists are read as JSON values, however they are laid out, and only what is whole keeps a watch

Cause: the watch read one object a line (discovery.rs, Lines), so an indented list was as many broken lines; each asked for the whole list again, which came indented, too: a sidecar without a list never became ready, and one with a list learnt of no drain. Bytes that end nothing also counted as a sign of life. Change: values.rs, pure, finds where an object ends by its brackets, at any cut, within the same bound; what is broken is told once, what follows on a line of its own still counts. Only whole objects and empty lines put off the end of a watch.

--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -1,22 +1,24 @@
 //! The discovery watch: reads the list of upstreams and its changes, and tells the driver.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result, anyhow, bail};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::hosts::HostList;
-use crate::lines::Lines;
 use crate::log::Log;
 use crate::messages::Outlet;
+use crate::values::{Next, Values};
 
 /// An empty line comes every 2 s; after this long without a byte the watch is dead. What it would have told
 /// counts as told 6 s after discovery knew it, so there is no time to wait for more.
@@ -25,8 +27,8 @@
 const CALL: Duration = Duration::from_millis(2_500);
 /// Waits between attempts to watch, doubling from the first to the last while they fail.
 const BACK_OFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(800)];
-/// The longest line: thousands of hosts. A stream without line ends must not fill the memory.
-const LINE_BYTES: usize = 2 << 20;
+/// The longest list: thousands of hosts, indented. A stream without an end must not fill the memory.
+const LIST_BYTES: usize = 2 << 20;
 
 /// What a watch has to tell.
 pub enum FromDiscovery {
@@ -58,8 +60,6 @@
     pub news: Outlet<FromDiscovery>,
     /// Where it says what went wrong.
     pub log: Log,
-    /// Whether a line could not be read.
-    pub missed: bool,
 }
 
 impl Watch {
@@ -83,7 +83,7 @@
         self.news.tell(FromDiscovery::Failed { watch: self.number, seq: self.seq });
     }
 
-    async fn once(&mut self) -> Result<std::convert::Infallible> {
+    async fn once(&mut self) -> Result<Infallible> {
         let stream = timeout(CALL, TcpStream::connect(self.address))
             .await
             .context("connecting took too long")?
@@ -99,42 +99,53 @@
         if response.status() != StatusCode::OK {
             bail!("answered {}", response.status());
         }
-        let mut body = response.into_body();
-        let mut lines = Lines::new(LINE_BYTES);
+        let mut values = Values::new(LIST_BYTES);
+        let end = self.listen(response.into_body(), &mut values).await;
+        if values.is_within() {
+            // What it would have said is missed: only the whole list can make up for it.
+            self.seq = 0;
+        }
+        end
+    }
+
+    /// Listens to a watch until it ends. Only what is whole is a sign of life: bytes that end nothing may go on for good.
+    async fn listen(&mut self, mut body: Incoming, values: &mut Values) -> Result<Infallible> {
+        let mut dead_at = Instant::now() + SILENCE;
         loop {
-            let frame = timeout(SILENCE, body.frame()).await.context("the watch fell silent")?;
+            let frame =
+                timeout_at(dead_at, body.frame()).await.map_err(|_| anyhow!("the watch fell silent"))?;
             let frame = frame.context("the watch ended")??;
             let Ok(chunk) = frame.into_data() else { continue };
-            lines.push(&chunk).map_err(anyhow::Error::msg)?;
-            while let Some(line) = lines.next_line() {
-                self.tell(&line)?;
+            values.push(&chunk).map_err(anyhow::Error::msg)?;
+            let mut broken = None;
+            while let Some(next) = values.next() {
+                match next {
+                    Next::Blank => {}
+                    Next::Object(text) => broken = self.tell(&text)?.or(broken),
+                    Next::Broken(reason) => broken = Some(reason.to_owned()),
+                }
+                dead_at = Instant::now() + SILENCE;
             }
-            if std::mem::take(&mut self.missed) {
+            if let Some(reason) = broken {
+                // What else came with it counts, but only the whole list can make up for what was missed.
                 self.seq = 0;
-                bail!("something was missed");
+                bail!("a list cannot be read: {reason}");
             }
         }
     }
 
-    fn tell(&mut self, line: &[u8]) -> Result<()> {
-        if line.trim_ascii().is_empty() {
-            return Ok(());
-        }
-        match serde_json::from_slice::<HostList>(line) {
+    /// Tells a list, or says why it cannot be read.
+    fn tell(&mut self, text: &[u8]) -> Result<Option<String>> {
+        match serde_json::from_slice::<HostList>(text) {
             Ok(list) => {
                 self.seq = list.seq;
                 if !self.news.tell(FromDiscovery::Listed { watch: self.number, list }) {
                     bail!("the driver has ended");
                 }
+                Ok(None)
             }
-            // What the line said is missed: only the whole list can make up for it.
-            Err(error) => {
-                self.log.line(format!("discovery: a line cannot be read: {error}"));
-                self.seq = 0;
-                self.missed = true;
-            }
+            Err(error) => Ok(Some(error.to_string())),
         }
-        Ok(())
     }
 }
 
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -296,7 +296,7 @@
     fn watch(&mut self) {
         self.watches += 1;
         let (address, number, news) = (self.discovery, self.watches, self.news.clone());
-        let watch = Watch { address, number, seq: self.seq, news, log: self.log.clone(), missed: false };
+        let watch = Watch { address, number, seq: self.seq, news, log: self.log.clone() };
         self.watch = Some(AbortOnDrop(if self.subscribed {
             tokio::spawn(watch.ask())
         } else {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod slot;
 pub mod transfer;
 pub mod upstream;
+pub mod values;
 pub mod vitals;
--- a/crates/sidecar/src/lines.rs
+++ b/crates/sidecar/src/lines.rs
@@ -1,4 +1,4 @@
-//! Lines out of a stream that comes in pieces: what discovery, and the control socket of a daemon, speak.
+//! Lines out of a stream that comes in pieces: what the control socket of a daemon and the link of an upgrade speak.
 
 use bytes::BytesMut;
 
--- a/crates/udp/src/watch.rs
+++ b/crates/udp/src/watch.rs
@@ -27,7 +27,7 @@
     });
     std::thread::Builder::new().name(format!("watch-{name}")).spawn(move || {
         runtime.block_on(async {
-            let watch = Watch { address, number: 0, seq: 0, news, log, missed: false };
+            let watch = Watch { address, number: 0, seq: 0, news, log };
             tokio::select! {
                 () = watch.keep() => {}
                 _ = is_over => {}
