A client that leaves is noticed whatever lies behind its open request

Cause: hyper stops reading a connection while a request is open and anything waits in its own buffer, so the end or reset of a client that had sent one byte more, or pipelined, was never seen; its request waited on and was sent on after it had left (client.rs handed all bytes on). Change: the stream hands hyper one request at a time (framing.rs finds its end to the byte); what comes behind it is kept, up to 64 KiB, and read on for the end. Beyond that the kernel is asked every 100 ms for an error or a closed end. A half-close is a client that has gone away. The stand-in for a full accept queue moved from sidecar.rs to loopback, the checks as they were.

--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -552,3 +552,89 @@
          X-Priority-Class: {class}\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: {timeout_ms}\r\n{key}{length}\r\n{body}"
     )
 }
+
+// --- The console ------------------------------------------------------------------------------
+
+pub fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A configuration with a console.
+pub fn with_console(config: &str, console: &str) -> String {
+    config.replacen('{', &format!(r#"{{"console":"{console}","#), 1)
+}
+
+/// A sidecar with a console, its discovery, and where the console is.
+pub fn operated(upstreams: &[&Upstream]) -> (Sidecar, Discovery, SocketAddr) {
+    let known = ready(upstreams);
+    let discovery = Discovery::new(&known);
+    let console = free();
+    let text = config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS);
+    let sidecar = Sidecar::start(&with_console(&text, &console.to_string()));
+    sidecar.wait_up();
+    (sidecar, discovery, console)
+}
+
+/// One call: status and body.
+pub fn call(console: SocketAddr, method: &str, path: &str) -> (u16, String) {
+    let mut client = Client::to(console);
+    client.write(format!("{method} {path} HTTP/1.1\r\nHost: console\r\n\r\n").as_bytes());
+    let answer = client.read().expect("an answer");
+    assert_eq!(answer.header("connection"), Some("close"), "one call to a connection");
+    assert_eq!(client.read_to_close().expect("a close"), b"");
+    (answer.status(), String::from_utf8(answer.body).unwrap())
+}
+
+pub fn figures(console: SocketAddr) -> serde_json::Value {
+    let (status, text) = call(console, "GET", "/api/telemetry");
+    assert_eq!(status, 200);
+    serde_json::from_str(&text).unwrap()
+}
+
+// --- An upstream that nobody gets through to ---------------------------------------------------
+
+/// An upstream whose accept queue is full: connections to it come up only once the test lets them.
+pub struct Clogged {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    queue: Vec<TcpStream>,
+}
+
+impl Clogged {
+    pub fn new() -> Clogged {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let listener = runtime.block_on(async {
+            let socket = tokio::net::TcpSocket::new_v4().unwrap();
+            socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+            socket.listen(1).unwrap().into_std().unwrap()
+        });
+        listener.set_nonblocking(false).unwrap();
+        let address = listener.local_addr().unwrap();
+        let queue = [0, 1].map(|_| TcpStream::connect(address).unwrap()).into();
+        Clogged { address, listener, queue }
+    }
+
+    /// Connections come up from now on, and requests are answered. The first lines of those, probes apart.
+    pub fn let_through(self) -> Arc<Mutex<Vec<String>>> {
+        let written = Arc::new(Mutex::new(Vec::new()));
+        let seen = written.clone();
+        let listener = self.listener;
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let seen = seen.clone();
+                std::thread::spawn(move || {
+                    let mut writer = stream.try_clone().unwrap();
+                    let mut reader = BufReader::new(stream);
+                    while let Some(message) = read_message(&mut reader) {
+                        if !message.line.starts_with("GET /metrics/load ") {
+                            seen.lock().unwrap().push(message.line);
+                        }
+                        let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nslow");
+                    }
+                });
+            }
+        });
+        drop(self.queue);
+        written
+    }
+}
--- a/crates/cli/tests/sidecar.rs
+++ b/crates/cli/tests/sidecar.rs
@@ -698,16 +698,8 @@
 
 #[test]
 fn an_attempt_that_is_still_connecting_when_its_upstream_drains_is_not_written() {
-    // An upstream whose accept queue is full: connections to it come up only once it accepts again.
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let slow = runtime.block_on(async {
-        let socket = tokio::net::TcpSocket::new_v4().unwrap();
-        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        socket.listen(1).unwrap().into_std().unwrap()
-    });
-    slow.set_nonblocking(false).unwrap();
-    let address = slow.local_addr().unwrap();
-    let queue = [0, 1].map(|_| std::net::TcpStream::connect(address).unwrap());
+    let slow = Clogged::new();
+    let address = slow.address;
     let other = Upstream::new(|_| Deed::ok("elsewhere"));
     let known = list(5, true, &[entry("slow", address, "ready")]);
     let discovery = Discovery::new(&known);
@@ -723,22 +715,9 @@
     let news = [entry("slow", address, "draining"), entry("other", other.address, "ready")];
     discovery.say(&format!("{}\n", list(6, false, &news)));
     until("the news have come", || Client::to(sidecar.address).ask("fetch").body == b"elsewhere");
-    let written = Arc::new(AtomicUsize::new(0));
-    let seen = written.clone();
-    std::thread::spawn(move || {
-        for mut stream in slow.incoming().flatten() {
-            let seen = seen.clone();
-            std::thread::spawn(move || {
-                let mut head = [0; 4];
-                if stream.read_exact(&mut head).is_ok() && &head == b"POST" {
-                    seen.fetch_add(1, Ordering::SeqCst);
-                }
-            });
-        }
-    });
-    drop(queue);
+    let written = slow.let_through();
     assert_eq!(client.read().expect("an answer").body, b"elsewhere");
-    assert_eq!(written.load(Ordering::SeqCst), 0);
+    assert_eq!(written.lock().unwrap().len(), 0);
 }
 
 /// Clients may hold so many connections and no more: those that have asked once and keep theirs must not be all.
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -1,4 +1,5 @@
-//! A client's stream: its calls are counted, and it is closed in two steps.
+//! A client's stream: its calls are counted, nothing behind an open request hides that the client has left, and it is
+//! closed in two steps.
 
 use std::io;
 use std::pin::Pin;
@@ -6,8 +7,9 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::{Buf, BytesMut};
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
@@ -26,6 +28,13 @@
 /// then nothing for as long as a slow client needs for them: its pace would not show.
 const SEND_BUFFER_BYTES: usize = 256 << 10;
 
+/// What comes behind an open request is kept here, up to as much as a body may have; the rest waits in the kernel. hyper
+/// would stop to read where anything waits in its own buffer, and never see that the client has left.
+const AHEAD_BYTES: usize = 64 << 10;
+/// Once that is full, the kernel is asked this often whether the client has left: a request whose client has left must not
+/// be sent on 0.3 s later.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// A client's stream.
 pub struct Client {
     stream: TcpStream,
@@ -34,6 +43,10 @@
     framing: Framing,
     /// Since when the client has taken nothing of what waits for it.
     stuck: Option<Pin<Box<Sleep>>>,
+    /// What has come behind the request that is open.
+    ahead: BytesMut,
+    /// Once there is no room for more of that: when the kernel is asked next.
+    look: Option<Pin<Box<Sleep>>>,
     /// Once our writing has ended: until when we read on, and how many bytes more.
     closing: Option<(Pin<Box<Sleep>>, usize)>,
 }
@@ -43,7 +56,50 @@
     pub fn new(stream: TcpStream, slot: Arc<Slot>) -> Client {
         // Without it a pace cannot be told; that is no reason not to serve.
         let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
-        Client { stream, slot, framing: Framing::default(), stuck: None, closing: None }
+        Client {
+            stream,
+            slot,
+            framing: Framing::default(),
+            ahead: BytesMut::new(),
+            look: None,
+            stuck: None,
+            closing: None,
+        }
+    }
+
+    /// Whether a request has come whole that has no answer yet.
+    fn is_asked(&self) -> bool {
+        self.framing.whole() > self.slot.answered()
+    }
+
+    /// While a request is open: reads on, and comes back only when the client has left.
+    fn poll_left(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.slot.wake_when_answered(cx.waker());
+        let mut room = [0; 4 << 10];
+        while self.ahead.len() < AHEAD_BYTES {
+            let mut buffer = ReadBuf::new(&mut room);
+            let result = Pin::new(&mut self.stream).poll_read(cx, &mut buffer);
+            calls::read(&result, buffer.filled().len());
+            ready!(result)?;
+            if buffer.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            self.ahead.extend_from_slice(buffer.filled());
+        }
+        loop {
+            let look = self.look.get_or_insert_with(|| Box::pin(sleep(LOOK)));
+            ready!(look.as_mut().poll(cx));
+            self.look = None;
+            if let Some(error) = self.stream.take_error()? {
+                return Poll::Ready(Err(error));
+            }
+            let asked = std::pin::pin!(self.stream.ready(Interest::READABLE)).poll(cx);
+            if let Poll::Ready(known) = asked
+                && known?.is_read_closed()
+            {
+                return Poll::Ready(Ok(()));
+            }
+        }
     }
 
     /// Ends with an error when the client has taken nothing for too long.
@@ -61,20 +117,39 @@
     }
 }
 
+/// Takes in what came, up to the end of a request; how much that is.
+fn came(framing: &mut Framing, slot: &Slot, bytes: &[u8]) -> usize {
+    let fed = framing.feed(bytes);
+    slot.came(framing.in_head(), framing.doubled());
+    fed
+}
+
 impl AsyncRead for Client {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
         let this = &mut *self;
+        if this.is_asked() {
+            // Whatever comes now is for later; that the client leaves is for now.
+            return this.poll_left(cx);
+        }
+        if !this.ahead.is_empty() {
+            let room = this.ahead.len().min(buf.remaining());
+            let fed = came(&mut this.framing, &this.slot, &this.ahead[..room]);
+            buf.put_slice(&this.ahead[..fed]);
+            this.ahead.advance(fed);
+            return Poll::Ready(Ok(()));
+        }
+        let before = buf.filled().len();
         let result = Pin::new(&mut this.stream).poll_read(cx, buf);
-        let came = buf.filled().get(before..).unwrap_or_default();
-        calls::read(&result, came.len());
-        if !came.is_empty() {
-            this.framing.feed(came);
-            this.slot.came(this.framing.in_head(), this.framing.doubled());
+        let read = buf.filled().get(before..).unwrap_or_default();
+        calls::read(&result, read.len());
+        if !read.is_empty() {
+            let fed = came(&mut this.framing, &this.slot, read);
+            this.ahead.extend_from_slice(&read[fed..]);
+            buf.set_filled(before + fed);
         }
         result
     }
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -118,7 +118,7 @@
             let Ok(chunk) = frame.into_data() else { continue };
             values.push(&chunk).map_err(anyhow::Error::msg)?;
             let mut broken = None;
-            while let Some(next) = values.next() {
+            while let Some(next) = values.next_value() {
                 match next {
                     Next::Blank => {}
                     Next::Object(text) => broken = self.tell(&text)?.or(broken),
--- a/crates/sidecar/src/slot.rs
+++ b/crates/sidecar/src/slot.rs
@@ -2,6 +2,8 @@
 //! its client is in the middle of a head.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::task::Waker;
 
 use tokio::sync::Notify;
 use tokio::time::{Duration, Instant};
@@ -23,6 +25,10 @@
     doubled: AtomicU64,
     /// Whether it has carried a request.
     used: AtomicBool,
+    /// Requests that have been answered.
+    answered: AtomicU64,
+    /// Who waits for the next one to be.
+    waiting: Mutex<Option<Waker>>,
     /// Told to make room.
     pub make_room: Notify,
     /// Told that it has been quiet for too long, as things stand.
@@ -38,10 +44,12 @@
             head_since: AtomicU64::new(NEVER),
             doubled: AtomicU64::new(0),
             used: AtomicBool::new(false),
+            answered: AtomicU64::new(0),
+            waiting: Mutex::default(),
             make_room: Notify::new(),
             let_go: Notify::new(),
         };
-        slot.free();
+        slot.quiet_since.store(slot.now(), Ordering::Relaxed);
         slot
     }
 
@@ -68,9 +76,25 @@
         self.quiet_since.store(BUSY, Ordering::Relaxed);
     }
 
-    /// None is open from now on.
+    /// A request has been answered, and none is open from now on.
     pub fn free(&self) {
         self.quiet_since.store(self.now(), Ordering::Relaxed);
+        self.answered.fetch_add(1, Ordering::Relaxed);
+        let waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner).take();
+        waiting.into_iter().for_each(Waker::wake);
+    }
+
+    /// How many requests have been answered.
+    pub fn answered(&self) -> u64 {
+        self.answered.load(Ordering::Relaxed)
+    }
+
+    /// Has this woken when the next one is.
+    pub fn wake_when_answered(&self, waker: &Waker) {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        if waiting.as_ref().is_none_or(|before| !before.will_wake(waker)) {
+            *waiting = Some(waker.clone());
+        }
     }
 
     /// Whether one is open.
--- a/crates/sidecar/src/transfer/framing.rs
+++ b/crates/sidecar/src/transfer/framing.rs
@@ -35,8 +35,9 @@
     stated: Option<u64>,
     chunked: bool,
     encoded: bool,
-    /// Heads that have ended.
+    /// Heads that have ended, and requests that have come whole.
     heads: u64,
+    whole: u64,
     doubled: Option<u64>,
 }
 
@@ -51,22 +52,30 @@
             chunked: false,
             encoded: false,
             heads: 0,
+            whole: 0,
             doubled: None,
         }
     }
 }
 
 impl Framing {
-    /// Takes in what came next.
-    pub fn feed(&mut self, mut bytes: &[u8]) {
-        while !bytes.is_empty() {
-            let taken = match self.at {
-                At::Lost => return,
-                At::Body(left) | At::Chunk(left) => self.skip(left, bytes.len()),
-                At::Head | At::Size | At::Trailers => self.read_line(bytes),
+    /// Takes in what came next, up to the end of the first request that ends in it; how many bytes that are. What it
+    /// cannot follow it takes in whole.
+    pub fn feed(&mut self, bytes: &[u8]) -> usize {
+        let (mut fed, before) = (0, self.whole);
+        while let Some(rest) = bytes.get(fed..).filter(|rest| !rest.is_empty() && self.whole == before) {
+            fed += match self.at {
+                At::Lost => rest.len(),
+                At::Body(left) | At::Chunk(left) => self.skip(left, rest.len()),
+                At::Head | At::Size | At::Trailers => self.read_line(rest),
             };
-            bytes = bytes.get(taken..).unwrap_or_default();
         }
+        fed
+    }
+
+    /// How many requests have come whole.
+    pub fn whole(&self) -> u64 {
+        self.whole
     }
 
     /// The number of the first request that was framed in two ways, counted from 1.
@@ -85,7 +94,7 @@
         self.at = match (self.at, left) {
             (At::Chunk(_), 0) => At::Size,
             (At::Chunk(_), left) => At::Chunk(left),
-            (_, 0) => At::Head,
+            (_, 0) => self.ends(),
             (_, left) => At::Body(left),
         };
         usize::try_from(taken).unwrap_or(usize::MAX)
@@ -107,7 +116,7 @@
         let line = if whole <= KEPT { line.strip_suffix(b"\r").unwrap_or(line) } else { line };
         match self.at {
             At::Size => self.at = size(line).map_or(At::Lost, |size| self.chunk(size)),
-            At::Trailers if line.is_empty() => self.at = At::Head,
+            At::Trailers if line.is_empty() => self.at = self.ends(),
             At::Head if line.is_empty() => self.head_ends(),
             At::Head => self.header(line),
             _ => {}
@@ -115,6 +124,12 @@
         end + 1
     }
 
+    /// A request has come whole.
+    fn ends(&mut self) -> At {
+        self.whole += 1;
+        At::Head
+    }
+
     fn chunk(&self, size: u64) -> At {
         if size == 0 { At::Trailers } else { At::Chunk(size.saturating_add(2)) }
     }
@@ -146,7 +161,7 @@
         self.at = match (stated, std::mem::take(&mut self.chunked)) {
             (_, true) => At::Size,
             (None, false) if encoded => At::Lost,
-            (None | Some(0), false) => At::Head,
+            (None | Some(0), false) => self.ends(),
             (Some(length), false) => At::Body(length),
         };
     }
@@ -177,7 +192,15 @@
 
     fn read(pieces: &[&[u8]]) -> Framing {
         let mut framing = Framing::default();
-        pieces.iter().for_each(|piece| framing.feed(piece));
+        for piece in pieces {
+            let mut rest = *piece;
+            while !rest.is_empty() {
+                let before = framing.whole();
+                let fed = framing.feed(rest);
+                assert!(fed == rest.len() || framing.whole() == before + 1, "it stops at ends only");
+                rest = &rest[fed..];
+            }
+        }
         framing
     }
 
@@ -187,6 +210,7 @@
             let (first, second) = SOUND.split_at(cut);
             let framing = read(&[first, second]);
             assert_eq!((framing.heads, framing.doubled(), framing.at), (4, None, At::Head), "cut at {cut}");
+            assert_eq!(framing.whole(), 4, "cut at {cut}");
         }
         let bytes: Vec<&[u8]> = SOUND.chunks(1).collect();
         assert_eq!((read(&bytes).heads, read(&bytes).doubled()), (4, None));
@@ -220,6 +244,25 @@
         assert_eq!(read(&[&whole]).doubled(), Some(1));
     }
 
+    #[test]
+    fn the_end_of_each_request_is_found_to_the_byte() {
+        let ends: Vec<usize> = ["29\r\n\r\n", "Content-Length: 7\r\n\r\n", "GET /c HTTP/1.1\r\n\r\n"]
+            .iter()
+            .filter_map(|text| {
+                SOUND.windows(text.len()).position(|at| at == text.as_bytes()).map(|at| at + text.len())
+            })
+            .collect();
+        let mut framing = Framing::default();
+        let (mut fed, mut found) = (0, Vec::new());
+        while fed < SOUND.len() {
+            fed += framing.feed(&SOUND[fed..]);
+            found.push(fed);
+        }
+        assert_eq!(found.len(), 4);
+        assert_eq!(found[3], SOUND.len());
+        assert!(ends.iter().all(|end| found.contains(end)), "{ends:?} in {found:?}");
+    }
+
     #[test]
     fn a_head_under_way_is_known() {
         assert!(!read(&[]).in_head() && !read(&[SOUND]).in_head());
--- a/crates/sidecar/src/values.rs
+++ b/crates/sidecar/src/values.rs
@@ -65,7 +65,7 @@
     }
 
     /// What comes next, if all of it has come.
-    pub fn next(&mut self) -> Option<Next> {
+    pub fn next_value(&mut self) -> Option<Next> {
         while let Some(byte) = self.buffer.get(self.seen).copied() {
             self.seen += 1;
             match (self.at, byte) {
@@ -149,7 +149,7 @@
             Next::Blank => "-".to_owned(),
             Next::Broken(_) => "?".to_owned(),
         };
-        std::iter::from_fn(|| values.next()).map(told).collect()
+        std::iter::from_fn(|| values.next_value()).map(told).collect()
     }
 
     #[test]
@@ -209,7 +209,7 @@
             }
             for chunk in noise.chunks(1 + rng.rand_range(0..40) as usize) {
                 values.push(chunk).expect("it is short");
-                while values.next().is_some() {}
+                while values.next_value().is_some() {}
             }
         }
     }
