What discovery keeps back is asked for in time, and a new process waits for what its agent has

Causes, in discovery.rs and driver.rs: (1) a new process served by the list it was started with before its first watch had answered, though what the agent has counts as told from its first moment; (2) 3 s of silence, 2.5 s to connect and 2.5 s for an answer are more than the 6 s after which what is missed counts as told, and calls of 2.5 s with waits of 0.8 s outlast a grace of 0.5 s when discovery returns; (3) any byte put off the end of a watch; (4) a change of an older version was applied and could undo a drain. Change: silence.rs, pure, has the budget as one sum, with its parts from the settings' grace; a process is ready, and accepts, once discovery has told it something or after 100 ms (a quarter of the shortest aim if that is less); older changes ask for the whole list; an outage is one log line. invariants.drain_grace is read and checked. Weighed and left: keeping the old watch at SIGHUP until the new one answers; operators move because the old address is no longer to be believed. Not covered: a daemon's first generation, which accepts before it is ready.

--- a/crates/cli/src/sidecar.rs
+++ b/crates/cli/src/sidecar.rs
@@ -6,6 +6,7 @@
 use anyhow::{Context, Result, bail};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
 
 use sagemast_pools::file::File;
 use sagemast_sidecar::budget::Budgets;
@@ -20,6 +21,7 @@
 use sagemast_sidecar::instance::{Control, Drain, Ended, Instance, Parts};
 use sagemast_sidecar::log::Log;
 use sagemast_sidecar::messages::Outlet;
+use sagemast_sidecar::silence;
 
 /// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
 const STILL_COMING: Duration = Duration::from_millis(550);
@@ -56,7 +58,8 @@
         None => front::listen(config.listen)?,
     };
     let address = listener.local_addr().context("the listener has no address")?;
-    // Until it can serve, whoever comes to a socket that others listen on as well is for them.
+    // Until it can serve, whoever comes to a socket that others listen on as well is for them, and who comes to one of its
+    // own waits there: to send by the list that it was started with would be to send to what has begun to drain since.
     let (ready, shared) = (Arc::new(Notify::new()), inherited.is_some());
     let told_ready = ready.clone();
     let listening = Outlet::to(move |told| {
@@ -85,18 +88,27 @@
         crossing: crossing.clone(),
         log: log.clone(),
         listening,
-        standby: shared,
+        standby: true,
     });
     let _console =
         console.map(|listener| Console::start(listener, control.clone(), log.clone())).transpose()?;
     let succession =
         place.map(|place| handover::run(place, elder, control.clone(), held, sidecars, log.clone()));
+    // One that has no list at all by then says so to whoever comes.
+    let waits = silence::first(Duration::from_secs_f64(config.settings.shortest_aim_ms() / 1e3));
+    let started = Instant::now();
+    let mut opens = (!shared).then_some(started + waits);
     let mut running = tokio::spawn(instance.run());
     loop {
         tokio::select! {
             _ = terminate.recv() => break log.line("SIGTERM: finishing what is held"),
             _ = interrupt.recv() => break log.line("SIGINT: finishing what is held"),
+            () = sleep_until(opens.unwrap_or(started)), if opens.is_some() => {
+                opens = None;
+                control.open();
+            }
             () = ready.notified() => {
+                opens = None;
                 control.open();
                 log.line("serving");
                 succession.iter().for_each(Hold::serves);
--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -3,6 +3,8 @@
 mod loopback;
 
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use loopback::*;
@@ -43,6 +45,96 @@
     assert_eq!(discovery.watches().len(), 1, "it was understood at once: {:?}", sidecar.log.lock().unwrap());
 }
 
+/// Guards against a peer that goes on sending bytes which end nothing: half a list is no sign of life.
+#[test]
+fn a_watch_that_dribbles_or_says_nothing_behind_its_head_is_silent() {
+    let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+    let first = list(5, true, &[entry("a", a.address, "ready")]);
+    let last = list(6, true, &[entry("b", b.address, "ready")]);
+    let (address, asked) = discovery(move |number, stream| match number {
+        0 => {
+            chunk(stream, format!("{first}\n{{\"seq\": 6,").as_bytes()).unwrap();
+            // White space that could go on for good.
+            while chunk(stream, b" ").is_ok() {
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        }
+        1 => {}
+        _ => drop(chunk(stream, format!("{last}\n").as_bytes())),
+    });
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", address, "null", 1024, SETTINGS));
+    sidecar.wait_up();
+    let mut client = Client::to(sidecar.address);
+    until("what the silent ones kept back is known", || {
+        client.ask("fetch").status() == 200 && !b.requests().is_empty()
+    });
+    let asked = asked.lock().unwrap();
+    assert!(asked.len() >= 3 && asked[1].contains("from=0 "), "half a list was missed: {asked:?}");
+}
+
+/// Guards against a drain that is undone by what was told before it.
+#[test]
+fn a_change_of_an_older_version_undoes_nothing_and_is_asked_about() {
+    let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+    let (sidecar, discovery) = Sidecar::with(&[&a, &b]);
+    let mut client = Client::to(sidecar.address);
+    // In one piece: the drain, the same once more, and what was true before.
+    let drain = list(9, false, &[entry("a", a.address, "draining")]);
+    let before = list(8, false, &[entry("a", a.address, "ready")]);
+    until("it watches", || discovery.watches().len() == 1);
+    discovery.say(&format!("{drain}\n{drain}\n{before}\n"));
+    until("the drain has come", || {
+        let before = a.requests().len();
+        (0..20).for_each(|_| drop(client.ask("fetch")));
+        a.requests().len() == before
+    });
+    discovery.break_off();
+    until("it asks for the whole list", || discovery.watches().len() >= 2);
+    assert!(discovery.watches()[1].contains("from=0 "), "{:?}", discovery.watches());
+}
+
+/// Guards against requests that a new process sends by the list that it was started with, while the agent beside it has
+/// been told of a drain since: that counts as told from the first moment on. The request waits before the process listens
+/// for it; the list comes right after.
+#[test]
+fn a_new_process_sends_nothing_before_it_has_heard_what_the_agent_knows() {
+    let mut crossed = 0;
+    for _ in 0..20 {
+        let [drains, serves] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+        let news = [entry("a", drains.address, "draining"), entry("b", serves.address, "ready")];
+        let news = list(6, true, &news);
+        let written = Arc::new(AtomicUsize::new(0));
+        let is_written = written.clone();
+        let (address, _asked) = discovery(move |_, stream| {
+            until("the request is written", || is_written.load(Ordering::SeqCst) == 1);
+            let _ = chunk(stream, format!("{news}\n").as_bytes());
+        });
+        let known = list(5, true, &[entry("a", drains.address, "ready")]);
+        let begins = std::time::Instant::now();
+        let sidecar = Sidecar::start(&config("127.0.0.1:0", address, &known, 1024, SETTINGS));
+        let mut client = Client::to(sidecar.address);
+        client.send("fetch", 20_000);
+        written.store(1, Ordering::SeqCst);
+        let took = begins.elapsed();
+        assert_eq!(client.read().expect("an answer").status(), 200);
+        // On a machine that was held up the process has waited as long as it may: no crossing, so once more.
+        if took < Duration::from_millis(60) {
+            assert_eq!((drains.requests().len(), serves.requests().len()), (0, 1));
+            crossed += 1;
+        }
+    }
+    assert!(crossed > 0, "the crossing was never played");
+}
+
+/// Where the agent is silent the process serves by what it was started with.
+#[test]
+fn a_new_process_is_not_kept_waiting_by_an_agent_that_says_nothing() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (address, _asked) = discovery(|_, _| {});
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", address, &ready(&[&upstream]), 1024, SETTINGS));
+    assert_eq!(Client::to(sidecar.address).ask("fetch").status(), 200);
+}
+
 // --- Clients that leave -----------------------------------------------------------------------
 
 /// How a client leaves.
--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -284,7 +284,33 @@
     }
 }
 
-fn chunk(stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+/// Discovery that does with each watch, counted from 0, as the test says, once the watch has been asked for and its head
+/// answered. Where it listens, and the first lines of the watches so far.
+pub fn discovery(
+    what: impl Fn(usize, &mut TcpStream) + Send + Sync + 'static,
+) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (asked, what) = (Arc::new(Mutex::new(Vec::new())), Arc::new(what));
+    let seen = asked.clone();
+    std::thread::spawn(move || {
+        for (number, mut stream) in listener.incoming().flatten().enumerate() {
+            let (seen, what) = (seen.clone(), what.clone());
+            std::thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                let Some(request) = read_message(&mut reader) else { return };
+                seen.lock().unwrap().push(request.line);
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                what(number, &mut stream);
+                // The watch stays open until the sidecar lets it go.
+                let _ = read_message(&mut reader);
+            });
+        }
+    });
+    (address, asked)
+}
+
+pub fn chunk(stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
     stream.write_all(format!("{:x}\r\n", bytes.len()).as_bytes())?;
     stream.write_all(bytes)?;
     stream.write_all(b"\r\n")
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -117,6 +117,11 @@
     15_000.0
 }
 
+/// As long as the operators' page has it where a deployment says nothing.
+fn default_drain_grace() -> f64 {
+    1_000.0
+}
+
 fn default_connect_timeout() -> f64 {
     250.0
 }
@@ -129,6 +134,8 @@
     fall: f64,
     #[serde(default)]
     must_ask_in: f64,
+    #[serde(default = "default_drain_grace")]
+    drain_grace: f64,
 }
 
 #[derive(Debug, Deserialize, Clone, Copy, PartialEq)]
@@ -237,6 +244,10 @@
         for (key, value) in figures.into_iter().filter(|(_, value)| !sound(*value)) {
             fault(key.to_owned(), format!("it is {value}; a positive number is needed"));
         }
+        let grace = self.invariants.drain_grace;
+        if !(0.0..1e9).contains(&grace) {
+            fault("invariants.drain_grace".to_owned(), format!("it is {grace}; 0 or more is needed"));
+        }
         faults
     }
 
@@ -295,6 +306,11 @@
         self.allowed.connect_timeout
     }
 
+    /// Nothing new may go to an upstream later than this after the sidecar was told that it drains or is gone.
+    pub fn drain_grace_ms(&self) -> Millis {
+        self.invariants.drain_grace
+    }
+
     /// Whether answers to requests hold load reports.
     pub fn reports_in_answers(&self) -> bool {
         self.telemetry.how == "piggyback"
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use anyhow::{Context, Result, anyhow, bail};
 use bytes::Bytes;
@@ -13,20 +12,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::hosts::HostList;
 use crate::log::Log;
 use crate::messages::Outlet;
+use crate::silence::Times;
 use crate::values::{Next, Values};
 
-/// An empty line comes every 2 s; after this long without a byte the watch is dead. What it would have told
-/// counts as told 6 s after discovery knew it, so there is no time to wait for more.
-const SILENCE: Duration = Duration::from_millis(3_000);
-/// A call must be answered in this time.
-const CALL: Duration = Duration::from_millis(2_500);
-/// Waits between attempts to watch, doubling from the first to the last while they fail.
-const BACK_OFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(800)];
 /// The longest list: thousands of hosts, indented. A stream without an end must not fill the memory.
 const LIST_BYTES: usize = 2 << 20;
 
@@ -60,18 +53,27 @@
     pub news: Outlet<FromDiscovery>,
     /// Where it says what went wrong.
     pub log: Log,
+    /// How long it waits.
+    pub times: Times,
 }
 
 impl Watch {
     /// Watches for good, for settings under which news come by themselves.
     pub async fn keep(mut self) {
-        let mut wait = BACK_OFF[0];
+        let [first, last] = self.times.back_off;
+        let (mut wait, mut said) = (first, String::new());
         loop {
             let before = self.seq;
             let Err(end) = self.once().await;
-            self.log.line(format!("discovery: {end:#}; watching again"));
+            let went_on = self.seq != before && self.seq != 0;
+            let why = format!("{end:#}");
+            // An outage is one line, however often it is asked.
+            if went_on || why != said {
+                self.log.line(format!("discovery: {why}; watching again"));
+                said = why;
+            }
             // A watch that told something was in order; others back off, so as not to storm a discovery in need.
-            wait = if self.seq == before { (wait * 2).min(BACK_OFF[1]) } else { BACK_OFF[0] };
+            wait = if went_on { first } else { (wait * 2).min(last) };
             sleep(wait).await;
         }
     }
@@ -84,9 +86,11 @@
     }
 
     async fn once(&mut self) -> Result<Infallible> {
-        let stream = timeout(CALL, TcpStream::connect(self.address))
+        // Connecting and the head of the answer share one time: a budget is the sum of its parts.
+        let answer_by = Instant::now() + self.times.call;
+        let stream = timeout_at(answer_by, TcpStream::connect(self.address))
             .await
-            .context("connecting took too long")?
+            .map_err(|_| anyhow!("connecting took too long"))?
             .context("cannot connect")?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let _connection = AbortOnDrop(tokio::spawn(async move {
@@ -95,7 +99,9 @@
         let request = Request::get(format!("/discovery/hosts?watch=1&from={}", self.seq))
             .header(header::HOST, self.address.to_string())
             .body(Empty::<Bytes>::new())?;
-        let response = timeout(CALL, sender.send_request(request)).await.context("no answer in time")??;
+        let response = timeout_at(answer_by, sender.send_request(request))
+            .await
+            .map_err(|_| anyhow!("no answer in time"))??;
         if response.status() != StatusCode::OK {
             bail!("answered {}", response.status());
         }
@@ -110,7 +116,7 @@
 
     /// Listens to a watch until it ends. Only what is whole is a sign of life: bytes that end nothing may go on for good.
     async fn listen(&mut self, mut body: Incoming, values: &mut Values) -> Result<Infallible> {
-        let mut dead_at = Instant::now() + SILENCE;
+        let mut dead_at = Instant::now() + self.times.silence;
         loop {
             let frame =
                 timeout_at(dead_at, body.frame()).await.map_err(|_| anyhow!("the watch fell silent"))?;
@@ -124,7 +130,7 @@
                     Next::Object(text) => broken = self.tell(&text)?.or(broken),
                     Next::Broken(reason) => broken = Some(reason.to_owned()),
                 }
-                dead_at = Instant::now() + SILENCE;
+                dead_at = Instant::now() + self.times.silence;
             }
             if let Some(reason) = broken {
                 // What else came with it counts, but only the whole list can make up for what was missed.
@@ -137,6 +143,10 @@
     /// Tells a list, or says why it cannot be read.
     fn tell(&mut self, text: &[u8]) -> Result<Option<String>> {
         match serde_json::from_slice::<HostList>(text) {
+            // Changes build on what went before: those of an older version would undo newer ones. From 0 on all are new.
+            Ok(list) if !list.whole && list.seq < self.seq => {
+                Ok(Some(format!("version {} comes after {}", list.seq, self.seq)))
+            }
             Ok(list) => {
                 self.seq = list.seq;
                 if !self.news.tell(FromDiscovery::Listed { watch: self.number, list }) {
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -26,6 +26,7 @@
 use crate::log::Log;
 use crate::messages::{Arrival, End, Final, Flight, Forward, FromClients, Outlet};
 use crate::servers::Servers;
+use crate::silence::{self, Times};
 use crate::transfer::outgoing::Outgoing;
 use crate::transfer::upload::Fate;
 use crate::upstream::{Common, FromUpstreams, Source, attempt, connect, probe};
@@ -129,12 +130,14 @@
     Wake(u64),
     Backstop(RequestId),
     Sweep,
+    /// Discovery was given its time to tell what it has.
+    Current,
 }
 
 /// What the driver tells the owner of its instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Told {
-    /// It has a list of upstreams: `/up` answers 200.
+    /// It has a list of upstreams, from discovery itself unless that keeps it waiting: `/up` answers 200.
     Ready,
     /// The list has changed.
     Listed,
@@ -180,6 +183,12 @@
     upstreams: Outlet<FromUpstreams>,
     news: Outlet<FromDiscovery>,
     discovery: SocketAddr,
+    /// How long a watch of it waits.
+    times: Times,
+    /// Whether it has told something, or was given the time to.
+    current: bool,
+    /// Whether there is a list.
+    has_list: bool,
     seq: u64,
     watch: Option<AbortOnDrop>,
     /// The number of the present watch.
@@ -241,6 +250,12 @@
             upstreams: Outlet::new(happenings.clone()),
             news: Outlet::new(happenings.clone()),
             discovery,
+            times: match subscribed {
+                true => Times::asked(),
+                false => Times::pushed(Duration::from_secs_f64(settings.drain_grace_ms() / 1e3)),
+            },
+            current: subscribed,
+            has_list: false,
             seq: 0,
             watch: None,
             watches: 0,
@@ -275,6 +290,8 @@
         }
         if !self.subscribed {
             self.watch();
+            let first = silence::first(Duration::from_secs_f64(self.settings.shortest_aim_ms() / 1e3));
+            self.set_timer(Instant::now() + first, Timer::Current);
         }
         loop {
             let due = self.timers.keys().next().map(|key| key.0);
@@ -296,7 +313,7 @@
     fn watch(&mut self) {
         self.watches += 1;
         let (address, number, news) = (self.discovery, self.watches, self.news.clone());
-        let watch = Watch { address, number, seq: self.seq, news, log: self.log.clone() };
+        let watch = Watch { address, number, seq: self.seq, news, log: self.log.clone(), times: self.times };
         self.watch = Some(AbortOnDrop(if self.subscribed {
             tokio::spawn(watch.ask())
         } else {
@@ -327,6 +344,10 @@
                     self.finish(request, Final::Failed);
                     self.leave(request);
                 }
+                Timer::Current => {
+                    self.current = true;
+                    self.tell_ready();
+                }
                 Timer::Sweep => {
                     let limit = self.idle_limit();
                     let spare = limit.min(SPARE);
@@ -431,6 +452,7 @@
     fn heard_of_list(&mut self, message: FromDiscovery) {
         match message {
             FromDiscovery::Listed { watch, list } if watch == self.watches => {
+                self.current = true;
                 self.listed(&list, false);
                 if let Some(followers) = &self.followers {
                     // Who does not keep up has a watch of its own.
@@ -810,6 +832,13 @@
         tokio::spawn(probe(source, request, upstream, life, now + self.probe_time, self.upstreams.clone()));
     }
 
+    /// Tells that it is ready, once it is.
+    fn tell_ready(&self) {
+        if self.has_list && self.current && !self.vitals.ready.swap(true, Ordering::Release) {
+            self.listener.tell(Told::Ready);
+        }
+    }
+
     // --- The list ----------------------------------------------------------------------------
 
     fn listed(&mut self, list: &HostList, restored: bool) {
@@ -822,9 +851,8 @@
         self.draining = self.servers.draining();
         self.sweep_later();
         if !listings.is_empty() || (whole && !restored) {
-            if !self.vitals.ready.swap(true, Ordering::Release) {
-                self.listener.tell(Told::Ready);
-            }
+            self.has_list = true;
+            self.tell_ready();
             self.listener.tell(Told::Listed);
         }
         self.event(Event::Listed(match (restored, whole) {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod log;
 pub mod messages;
 pub mod servers;
+pub mod silence;
 pub mod slot;
 pub mod transfer;
 pub mod upstream;
--- a/crates/udp/src/watch.rs
+++ b/crates/udp/src/watch.rs
@@ -6,6 +6,7 @@
 use sagemast_sidecar::hosts::HostList;
 use sagemast_sidecar::log::Log;
 use sagemast_sidecar::messages::Outlet;
+use sagemast_sidecar::silence::Times;
 use tokio::sync::oneshot;
 
 /// Ends the watch when it is dropped.
@@ -27,7 +28,7 @@
     });
     std::thread::Builder::new().name(format!("watch-{name}")).spawn(move || {
         runtime.block_on(async {
-            let watch = Watch { address, number: 0, seq: 0, news, log };
+            let watch = Watch { address, number: 0, seq: 0, news, log, times: Times::asked() };
             tokio::select! {
                 () = watch.keep() => {}
                 _ = is_over => {}
