Where discovery is asked a silent watch is opened anew at once, within its 6 s

Cause: after a watch fell silent the module spread its next call over a quarter to all of must_ask_in (10 s there; brain.rs, full jitter), while what a silent watch misses counts as told 6 s after. Pushed lists never had this wait. Change: the watch itself goes on while its budget lasts: first at this sidecar's place in 1 s, then every 0.15 to 0.45 s, and only then the module asks (silence.rs, with the sum as a test). must_ask_in is taken for 6 s at most on sockets: discovery's news count as told by then.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -72,6 +72,33 @@
     assert!(asked.len() >= 3 && asked[1].contains("from=0 "), "half a list was missed: {asked:?}");
 }
 
+/// Guards against a module that, where discovery is asked, spreads its next call over all the time in which it must ask: a
+/// watch that has fallen silent may have missed a drain, which counts as told soon.
+#[test]
+fn where_discovery_is_asked_a_silent_watch_is_opened_anew_at_once() {
+    let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+    let first = list(5, true, &[entry("a", a.address, "ready")]);
+    let last = list(6, true, &[entry("b", b.address, "ready")]);
+    let known = first.clone();
+    let (address, asked) = discovery(move |number, stream| {
+        let _ = chunk(stream, format!("{}\n", if number == 0 { &first } else { &last }).as_bytes());
+    });
+    // It must ask once in ten hours: were the next call spread over that, none would come here. The first one is made
+    // for all that, since the process knows how long what it has not heard may count as told.
+    let settings =
+        SETTINGS.replace("automatic", "subscribe").replace(r#""must_ask_in":400.0"#, r#""must_ask_in":36e6"#);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", address, &known, 1024, &settings));
+    let mut client = Client::to(sidecar.address);
+    until("what the silent one kept back is known", || {
+        client.ask("fetch").status() == 200 && !b.requests().is_empty()
+    });
+    assert_eq!(asked.lock().unwrap().len(), 2);
+    assert!(
+        !sidecar.log.lock().unwrap().iter().any(|line| line.contains("unavailable")),
+        "the module was not asked"
+    );
+}
+
 /// Guards against a drain that is undone by what was told before it.
 #[test]
 fn a_change_of_an_older_version_undoes_nothing_and_is_asked_about() {
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -17,7 +17,7 @@
 use crate::hosts::HostList;
 use crate::log::Log;
 use crate::messages::Outlet;
-use crate::silence::Times;
+use crate::silence::{self, Times};
 use crate::values::{Next, Values};
 
 /// The longest list: thousands of hosts, indented. A stream without an end must not fill the memory.
@@ -55,6 +55,10 @@
     pub log: Log,
     /// How long it waits.
     pub times: Times,
+    /// This sidecar's place, from 0 to 1, among those that open a silent watch anew.
+    pub place: f64,
+    /// The last sign of life of a watch that has fallen silent, until another gives one.
+    pub silent: Option<Instant>,
 }
 
 impl Watch {
@@ -78,10 +82,19 @@
         }
     }
 
-    /// Watches once, for settings under which the module asks; it hears of the end and asks again.
+    /// Watches once, for settings under which the module asks; it hears of the end and asks again when it sees fit. A watch
+    /// that has fallen silent is another matter: what it misses counts as told soon, so it is opened anew at once.
     pub async fn ask(mut self) {
-        let Err(end) = self.once().await;
-        self.log.line(format!("discovery: {end:#}"));
+        let mut tries = 0;
+        loop {
+            let Err(end) = self.once().await;
+            self.log.line(format!("discovery: {end:#}"));
+            // Without a silence there is no hurry; with one, the calls after it are counted until one is answered.
+            let Some(since) = self.silent else { break };
+            let Some(wait) = silence::again(since.elapsed(), tries, self.place) else { break };
+            tries += 1;
+            sleep(wait).await;
+        }
         self.news.tell(FromDiscovery::Failed { watch: self.number, seq: self.seq });
     }
 
@@ -116,10 +129,12 @@
 
     /// Listens to a watch until it ends. Only what is whole is a sign of life: bytes that end nothing may go on for good.
     async fn listen(&mut self, mut body: Incoming, values: &mut Values) -> Result<Infallible> {
-        let mut dead_at = Instant::now() + self.times.silence;
+        let mut alive = Instant::now();
         loop {
-            let frame =
-                timeout_at(dead_at, body.frame()).await.map_err(|_| anyhow!("the watch fell silent"))?;
+            let Ok(frame) = timeout_at(alive + self.times.silence, body.frame()).await else {
+                self.silent.get_or_insert(alive);
+                bail!("the watch fell silent");
+            };
             let frame = frame.context("the watch ended")??;
             let Ok(chunk) = frame.into_data() else { continue };
             values.push(&chunk).map_err(anyhow::Error::msg)?;
@@ -130,7 +145,7 @@
                     Next::Object(text) => broken = self.tell(&text)?.or(broken),
                     Next::Broken(reason) => broken = Some(reason.to_owned()),
                 }
-                dead_at = Instant::now() + self.times.silence;
+                (alive, self.silent) = (Instant::now(), None);
             }
             if let Some(reason) = broken {
                 // What else came with it counts, but only the whole list can make up for what was missed.
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -183,8 +183,9 @@
     upstreams: Outlet<FromUpstreams>,
     news: Outlet<FromDiscovery>,
     discovery: SocketAddr,
-    /// How long a watch of it waits.
+    /// How long a watch of it waits, and this sidecar's place among all that ask.
     times: Times,
+    place: f64,
     /// Whether it has told something, or was given the time to.
     current: bool,
     /// Whether there is a list.
@@ -227,6 +228,10 @@
         // The module keeps one tick in hand before a key's window ends, since in the simulator a send is on
         // its way at once. Here it may first have to connect.
         told.limits.tick = told.limits.tick.max(settings.connect_timeout_ms());
+        // What discovery has to tell counts as told after that long, whatever else the settings allow.
+        if let Discovery::Subscribed { must_ask_in } = &mut told.discovery {
+            *must_ask_in = must_ask_in.min(silence::TOLD.as_secs_f64() * 1e3);
+        }
         let (subscribed, sidecars) = (matches!(told.discovery, Discovery::Subscribed { .. }), told.sidecars);
         let mut module = Balancer::new(told, seed);
         Crossing::bring_into_force(crossing, &mut module, sidecars, 0.0);
@@ -254,6 +259,8 @@
                 true => Times::asked(),
                 false => Times::pushed(Duration::from_secs_f64(settings.drain_grace_ms() / 1e3)),
             },
+            // A whole number below 2 to the power of 53 is one as a float, too.
+            place: (seed >> 11) as f64 / (1u64 << 53) as f64,
             current: subscribed,
             has_list: false,
             seq: 0,
@@ -312,8 +319,16 @@
     /// one tells it again, since it goes on from the last version that was taken in.
     fn watch(&mut self) {
         self.watches += 1;
-        let (address, number, news) = (self.discovery, self.watches, self.news.clone());
-        let watch = Watch { address, number, seq: self.seq, news, log: self.log.clone(), times: self.times };
+        let watch = Watch {
+            address: self.discovery,
+            number: self.watches,
+            seq: self.seq,
+            news: self.news.clone(),
+            log: self.log.clone(),
+            times: self.times,
+            place: self.place,
+            silent: None,
+        };
         self.watch = Some(AbortOnDrop(if self.subscribed {
             tokio::spawn(watch.ask())
         } else {
--- a/crates/sidecar/src/silence.rs
+++ b/crates/sidecar/src/silence.rs
@@ -15,6 +15,11 @@
 const PUSHED_CALL: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(500)];
 /// The waits between calls that fail, from the first to the last.
 const BACK_OFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(200)];
+/// Where one service is asked by all, watches that fell silent together are opened anew over this time, each at its own
+/// place in it: long enough to spread them, and short enough that a call may take its time after it.
+const SPREAD: Duration = Duration::from_millis(1_000);
+/// The same for the calls after that, while the budget lasts.
+const SPREAD_AGAIN: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(450)];
 /// No wait is shorter, whatever the grace.
 const LEAST_BACK_OFF: Duration = Duration::from_millis(10);
 /// A new process waits this long, or a quarter of the shortest aim if that is less, for what the agent on its machine has:
@@ -51,6 +56,17 @@
     }
 }
 
+/// How long to wait before a silent watch is opened anew for the `tries`-th time (from 0), where its last sign of life is so
+/// long past and this sidecar's place in the spread is `place` (0 to 1). `None` once the budget is used up: what was missed
+/// counts as told, and the module asks as it always does.
+pub fn again(since: Duration, tries: u32, place: f64) -> Option<Duration> {
+    let wait = match tries {
+        0 => SPREAD.mul_f64(place.clamp(0.0, 1.0)),
+        _ => SPREAD_AGAIN[0] + (SPREAD_AGAIN[1] - SPREAD_AGAIN[0]).mul_f64(place.clamp(0.0, 1.0)),
+    };
+    (since + wait < TOLD).then_some(wait)
+}
+
 /// How long a new process waits for what the agent has before it takes requests, where the shortest aim is this.
 pub fn first(shortest_aim: Duration) -> Duration {
     FIRST.min(shortest_aim / 4)
@@ -73,8 +89,19 @@
             // Calls that hang instead: six at least.
             assert!(times.silence + (times.call + last) * 5 <= TOLD, "{grace:?}");
         }
+        // Where all ask, the slowest call that is answered at all is answered in time, and failed ones are repeated.
         let times = Times::asked();
-        assert!(times.silence + times.back_off[1] + times.call < TOLD);
+        for place in [0.0, 0.5, 1.0] {
+            let first = again(times.silence, 0, place).expect("there is time");
+            assert!(times.silence + first + times.call < TOLD);
+            let (mut since, mut tries) = (times.silence, 0);
+            while let Some(wait) = again(since, tries, place) {
+                since += wait;
+                assert!(since < TOLD);
+                tries += 1;
+            }
+            assert!(tries >= 6, "{tries} calls that are turned away at once");
+        }
     }
 
     #[test]
--- a/crates/udp/src/watch.rs
+++ b/crates/udp/src/watch.rs
@@ -28,7 +28,16 @@
     });
     std::thread::Builder::new().name(format!("watch-{name}")).spawn(move || {
         runtime.block_on(async {
-            let watch = Watch { address, number: 0, seq: 0, news, log, times: Times::asked() };
+            let watch = Watch {
+                address,
+                number: 0,
+                seq: 0,
+                news,
+                log,
+                times: Times::asked(),
+                place: 0.0,
+                silent: None,
+            };
             tokio::select! {
                 () = watch.keep() => {}
                 _ = is_over => {}
