One place decides whether an attempt may be written: idle, just connected or after a stale one

Cause: connected() asked whether its upstream still serves in the same life, but start() did not, and a stale idle connection (End::Stale) began again with the old flight: after a drain, to a restarted cold process, and with a whole connect time-out anew each time, which the margin in a key's window allows for once (driver.rs). Change: writing.rs, pure, with a table test over its 128 states; start, connected and Stale call it. A flight has one time by which it must have its connection, the module's margin covers that and 10 ms for a turn, and given up is a mark of its own. Measured: driver/tests.rs plays seven crossings turn by turn; with the code as it was the drain among them goes on.

--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -31,12 +31,16 @@
 use crate::transfer::upload::Fate;
 use crate::upstream::{Common, FromUpstreams, Source, attempt, connect, probe};
 use crate::vitals::{Came, Vitals};
+use crate::writing;
 
 /// The module is told this much less than the client waits: its last word must reach the client in time. An
 /// answer takes a fraction of a millisecond to it; the rest is for a turn in which much else is to be done.
 const IN_HAND: Duration = Duration::from_millis(3);
 /// What the module has not ended by then, the driver does.
 const BACKSTOP: Duration = Duration::from_micros(1_500);
+/// Once its time to connect is over an attempt is written within this or not at all: the rest of a turn in which much else
+/// is to be done.
+const WRITE_IN: Duration = Duration::from_millis(10);
 /// A probe that has not come back in this share of the shortest aim says nothing: servers answer them beside
 /// their queue, and by then the request that it was for has gone on.
 const PROBE_SHARE: f64 = 0.5;
@@ -106,12 +110,20 @@
 struct Sent {
     flight: Flight,
     at: Instant,
-    /// Dropped or used to give it up; `None` once that was done.
+    /// Dropped to give it up, once something is under way for it.
     give_up: Option<oneshot::Sender<()>>,
+    /// Whether that was done.
+    given_up: bool,
     /// Bytes of its body, as far as they are known.
     body: u64,
 }
 
+impl Sent {
+    fn give_up(&mut self) {
+        (self.give_up, self.given_up) = (None, true);
+    }
+}
+
 /// A request without its final answer.
 struct Open {
     id: Box<str>,
@@ -215,6 +227,8 @@
     /// Whether idle connections are closed at once.
     retired: bool,
     probe_time: Duration,
+    /// How long an attempt may take to get its connection, over all its tries.
+    connect_time: Duration,
     actions: Vec<Action>,
 }
 
@@ -227,7 +241,8 @@
         let mut told = settings.settings();
         // The module keeps one tick in hand before a key's window ends, since in the simulator a send is on
         // its way at once. Here it may first have to connect.
-        told.limits.tick = told.limits.tick.max(settings.connect_timeout_ms());
+        let in_hand = settings.connect_timeout_ms() + WRITE_IN.as_secs_f64() * 1e3;
+        told.limits.tick = told.limits.tick.max(in_hand);
         // What discovery has to tell counts as told after that long, whatever else the settings allow.
         if let Discovery::Subscribed { must_ask_in } = &mut told.discovery {
             *must_ask_in = must_ask_in.min(silence::TOLD.as_secs_f64() * 1e3);
@@ -280,6 +295,7 @@
             sweeping: false,
             retired: false,
             probe_time: Duration::from_secs_f64(settings.shortest_aim_ms() * PROBE_SHARE / 1e3),
+            connect_time: Duration::from_secs_f64(settings.connect_timeout_ms() / 1e3),
             actions: Vec::new(),
             settings,
         };
@@ -575,7 +591,7 @@
     fn give_up_all(&mut self, request: RequestId) {
         let first = (request, AttemptNo(0));
         for (_, sent) in self.sent.range_mut(first..=(request, AttemptNo(u32::MAX))) {
-            sent.give_up = None;
+            sent.give_up();
         }
     }
 
@@ -614,7 +630,7 @@
             Action::Send { request, upstream, timeout } => self.send(request, upstream, timeout),
             Action::Cancel { request, attempt } => {
                 if let Some(sent) = self.sent.get_mut(&(request, attempt)) {
-                    sent.give_up = None;
+                    sent.give_up();
                 }
             }
             Action::Refuse { request, retry_after } => {
@@ -649,8 +665,9 @@
             _ => open.deadline,
         };
         let life = self.servers.get(upstream).map_or(0, |server| server.life);
-        let flight = Flight { request, attempt, upstream, life, until };
-        self.sent.insert((request, attempt), Sent { flight, at: now, give_up: None, body });
+        let connect_by = now + self.connect_time;
+        let flight = Flight { request, attempt, upstream, life, until, connect_by };
+        self.sent.insert((request, attempt), Sent { flight, at: now, give_up: None, given_up: false, body });
         if gone {
             // Its body has passed, and there is no other.
             return self.end_later(flight, Outcome::NotSent);
@@ -658,8 +675,26 @@
         self.start(flight);
     }
 
+    /// Whether an attempt may be written now.
+    fn may_be_written(&self, flight: &Flight) -> Result<(), Outcome> {
+        let sent = self.sent.get(&(flight.request, flight.attempt));
+        writing::verdict(&writing::Known {
+            open: self.open.contains_key(&flight.request),
+            given_up: sent.is_none_or(|sent| sent.given_up),
+            time_is_up: Instant::now() >= flight.until,
+            too_late: Instant::now() > flight.connect_by + WRITE_IN,
+            upstream: self.servers.get(flight.upstream).map(|server| writing::Upstream {
+                same_life: server.life == flight.life,
+                serves: server.listing.lifecycle == Lifecycle::Serving,
+            }),
+        })
+    }
+
     /// Gets a connection for an attempt: an idle one, or a new one.
     fn start(&mut self, flight: Flight) {
+        if let Err(outcome) = self.may_be_written(&flight) {
+            return self.end_later(flight, outcome);
+        }
         let limit = self.idle_limit();
         let Some(server) = self.servers.get_mut(flight.upstream) else {
             return self.end_later(flight, Outcome::NotSent);
@@ -674,8 +709,7 @@
         if let Some(sent) = self.sent.get_mut(&(flight.request, flight.attempt)) {
             sent.give_up = Some(give_up);
         }
-        let by = Instant::now() + Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
-        tokio::spawn(connect(dial, by, permit, flight, given_up, self.upstreams.clone()));
+        tokio::spawn(connect(dial, permit, flight, given_up, self.upstreams.clone()));
     }
 
     /// The right to one more connection; an idle one is closed for it if need be.
@@ -689,32 +723,22 @@
     }
 
     fn connected(&mut self, flight: Flight, connection: Result<Box<Connection>, String>) {
-        let key = (flight.request, flight.attempt);
-        let given_up = self.sent.get(&key).is_none_or(|sent| sent.give_up.is_none());
-        let connection = match connection {
-            Ok(connection) => *connection,
-            Err(reason) => {
-                if !given_up {
-                    let host = self.servers.get(flight.upstream).map_or("?", |server| &server.host.host);
-                    self.log.line(format!("upstream {host}: {reason}"));
-                }
-                let outcome = if given_up { Outcome::NotSent } else { Outcome::Unreachable };
-                return self.ended(flight, End::Outcome(outcome, None));
-            }
-        };
         // While it connected, its time may have run out, the request may have ended or the upstream may have
         // begun to drain or to live anew: what is not written yet must not be.
-        let open = self.open.contains_key(&flight.request) && !given_up;
-        let in_time = Instant::now() < flight.until;
-        let wanted = self.servers.get(flight.upstream).is_some_and(|server| {
-            server.life == flight.life && server.listing.lifecycle == Lifecycle::Serving
-        });
-        if open && wanted && in_time {
-            return self.write(flight, connection);
+        let verdict = self.may_be_written(&flight);
+        match (connection, verdict) {
+            (Ok(connection), Ok(())) => self.write(flight, *connection),
+            (Ok(connection), Err(outcome)) => {
+                self.put_back(flight.upstream, flight.life, *connection);
+                self.ended(flight, End::Outcome(outcome, None));
+            }
+            (Err(_), Err(Outcome::NotSent)) => self.ended(flight, End::Outcome(Outcome::NotSent, None)),
+            (Err(reason), _) => {
+                let host = self.servers.get(flight.upstream).map_or("?", |server| &server.host.host);
+                self.log.line(format!("upstream {host}: {reason}"));
+                self.ended(flight, End::Outcome(Outcome::Unreachable, None));
+            }
         }
-        self.put_back(flight.upstream, flight.life, connection);
-        let outcome = if open { Outcome::Unreachable } else { Outcome::NotSent };
-        self.ended(flight, End::Outcome(outcome, None));
     }
 
     /// Writes an attempt to a connection.
@@ -751,13 +775,10 @@
         let (outcome, answer) = match end {
             End::Outcome(outcome, answer) => (outcome, answer),
             // Nothing was written: the same attempt goes on over another connection, if it still may.
-            End::Stale => {
-                let wanted = self.sent.get(&key).is_some_and(|sent| sent.give_up.is_some());
-                if wanted && Instant::now() < flight.until {
-                    return self.start(flight);
-                }
-                (Outcome::Unreachable, None)
-            }
+            End::Stale => match self.may_be_written(&flight) {
+                Ok(()) => return self.start(flight),
+                Err(outcome) => (outcome, None),
+            },
         };
         let Some(sent) = self.sent.remove(&key) else { return };
         let fate = self.open.get(&flight.request).and_then(|open| Some(open.forward.body.upload()?.fate()));
@@ -828,10 +849,7 @@
         let source = match server.pool.take(limit) {
             Some(connection) => Source::Idle(Box::new(connection)),
             None => match self.permit(dial) {
-                Some(permit) => {
-                    let by = now + Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
-                    Source::Dial(dial, by, permit)
-                }
+                Some(permit) => Source::Dial(dial, now + self.connect_time, permit),
                 None => {
                     self.upstreams.tell(nothing);
                     return;
@@ -906,3 +924,6 @@
     kept.remove("x-server-load");
     kept
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod upstream;
 pub mod values;
 pub mod vitals;
+pub mod writing;
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -109,6 +109,8 @@
     pub life: u64,
     /// When the attempt is given up.
     pub until: Instant,
+    /// By when it must have its connection: counted once, however many it tries.
+    pub connect_by: Instant,
 }
 
 /// An upstream's answer.
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -199,14 +199,13 @@
 /// Connects for an attempt, until `given_up` is dropped or used.
 pub async fn connect(
     dial: SocketAddr,
-    by: Instant,
     permit: Permit,
     flight: Flight,
     given_up: oneshot::Receiver<()>,
     told: Outlet<FromUpstreams>,
 ) {
     let result = tokio::select! {
-        result = Connection::open(dial, by.min(flight.until), permit) => result,
+        result = Connection::open(dial, flight.connect_by.min(flight.until), permit) => result,
         _ = given_up => Err("given up".to_owned()),
     };
     told.tell(FromUpstreams::Connected(flight, result.map(Box::new)));
@@ -409,7 +408,14 @@
         let permit = Budgets::of(1).permit(dial).unwrap();
         let connection = Connection::open(dial, until, permit).await.unwrap();
         let (request, attempt_no) = (RequestId(1), AttemptNo(0));
-        let flight = Flight { request, attempt: attempt_no, upstream: UpstreamId(1), life: 0, until };
+        let flight = Flight {
+            request,
+            attempt: attempt_no,
+            upstream: UpstreamId(1),
+            life: 0,
+            until,
+            connect_by: until,
+        };
         let told = Arc::new(Mutex::new(Vec::new()));
         let heard = told.clone();
         let outlet = Outlet::to(move |message| {
