A client's connection is closed only after one look into its socket, by one table for all reasons

Cause: the runtime hears of bytes only when it next turns to the kernel. make_room returned at once where no request was open, let_go, the idle limit and SIGTERM ended a connection that seemed quiet: a request whole in its socket was thrown away, and a head or a body on its way was not told apart (front.rs). A connection accepted at the very end was closed after 150 ms of silence, and where deadlines are short the process could end with a silent one open. Change: closing.rs, pure, says what becomes of a connection by reason and by what it holds; before it is asked the socket itself is read once (client.rs, look_into). A connection that is kept may be asked to make room again. At the end a silent one is closed while an answer could still be given (lifecycle.rs, last_call); IDLE_AT_END is gone. Measured: front/tests.rs plays request against make-room, let-go and SIGTERM, on used and new connections, in one turn each; without the look the first of the six fails.

--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -1,7 +1,7 @@
 //! A client's stream: its calls are counted, nothing behind an open request hides that the client has left, and it is
 //! closed in two steps.
 
-use std::io;
+use std::io::{self, Read};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
@@ -72,6 +72,27 @@
         self.framing.whole() > self.slot.answered()
     }
 
+    /// Asks the socket itself for what has come, and gives that to be read; false where nothing has.
+    fn look_into(&mut self, buf: &mut ReadBuf<'_>) -> io::Result<bool> {
+        let mut room = [0; 4 << 10];
+        let most = room.len().min(buf.remaining());
+        match (&*SockRef::from(&self.stream)).read(&mut room[..most]) {
+            Ok(read) => {
+                calls::read(&Poll::Ready(Ok(())), read);
+                let read = &room[..read];
+                // The end of the stream is given as it is: nothing.
+                let fed = if read.is_empty() { 0 } else { came(&mut self.framing, &self.slot, read) };
+                buf.put_slice(&read[..fed]);
+                self.ahead.extend_from_slice(&read[fed..]);
+                Ok(true)
+            }
+            Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
+                Ok(false)
+            }
+            Err(error) => Err(error),
+        }
+    }
+
     /// While a request is open: reads on, and comes back only when the client has left.
     fn poll_left(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.slot.wake_when_answered(cx.waker());
@@ -142,6 +163,9 @@
             this.ahead.advance(fed);
             return Poll::Ready(Ok(()));
         }
+        if this.slot.is_to_look() && this.look_into(buf)? {
+            return Poll::Ready(Ok(()));
+        }
         let before = buf.filled().len();
         let result = Pin::new(&mut this.stream).poll_read(cx, buf);
         let read = buf.filled().get(before..).unwrap_or_default();
@@ -205,7 +229,7 @@
 
 #[cfg(test)]
 mod tests {
-    use std::io::{Read, Write};
+    use std::io::Write;
 
     use tokio::io::AsyncWriteExt;
 
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -2,8 +2,10 @@
 
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -24,6 +26,7 @@
 
 use crate::budget::{Quota, Room};
 use crate::client::Client;
+use crate::closing::{self, Deed, Reason};
 use crate::headers::end_to_end;
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::log::Log;
@@ -43,8 +46,6 @@
 /// A connection on which nothing comes for this long is closed. Clients hold on to theirs for good, and one that has
 /// said nothing is owed an end within 3 s; one that has been used may be closed after 2 s.
 const IDLE: Duration = Duration::from_millis(2_200);
-/// The same once the sidecar ends and only sweeps up.
-const IDLE_AT_END: Duration = Duration::from_millis(150);
 /// A connection is not closed for a newcomer before it has had no request open for this long: its last answer
 /// is on its way to the client, or its first request to the sidecar.
 const SETTLED: Duration = Duration::from_millis(100);
@@ -133,11 +134,14 @@
 impl Slots {
     /// Has the connection closed that has longest been quiet. Which of its peers are honest a sidecar cannot
     /// know; one that waits for an answer is never closed for another.
-    fn make_room(&mut self) -> bool {
+    fn make_room(&self) -> bool {
         let now = Instant::now();
-        let quiet = self.by_task.iter().filter_map(|(id, slot)| Some((slot.quiet_since()?, *id)));
+        let asked = |slot: &&Arc<Slot>| slot.making_room.load(Ordering::Relaxed);
+        let quiet = self.by_task.values().filter(|slot| !asked(slot));
+        let quiet = quiet.filter_map(|slot| Some((slot.quiet_since()?, slot)));
         let longest = quiet.filter(|(since, _)| *since + SETTLED <= now).min_by_key(|(since, _)| *since);
-        let Some(slot) = longest.and_then(|(_, id)| self.by_task.remove(&id)) else { return false };
+        let Some((_, slot)) = longest else { return false };
+        slot.making_room.store(true, Ordering::Relaxed);
         slot.make_room.notify_one();
         true
     }
@@ -252,7 +256,6 @@
     let now = *life.borrow_and_update();
     let heard = AtomicU64::new(0);
     let accepted = Instant::now();
-    let idle = if now.closes() { IDLE_AT_END } else { IDLE };
     let service = service_fn(|request| {
         let number = heard.fetch_add(1, Ordering::Relaxed) + 1;
         slot.used();
@@ -284,11 +287,11 @@
     loop {
         // By when something must have come. Looked at anew when it is due: what comes meanwhile only puts it off.
         let due = match (slot.quiet_since(), slot.head_since()) {
-            (None, _) => Instant::now() + idle,
+            (None, _) => Instant::now() + IDLE,
             (Some(_), Some(began)) => began + HEAD,
-            (Some(quiet), None) => quiet + idle,
+            (Some(quiet), None) => quiet + IDLE,
         };
-        tokio::select! {
+        let reason = tokio::select! {
             // First read what has come, then look at the time: a request that waits in the socket when its
             // idle connection is closed would have to be sent again.
             biased;
@@ -304,39 +307,48 @@
                     let _ = connection.as_mut().await;
                     return;
                 }
+                continue;
             }
-            () = sleep_until(ends_at.unwrap_or(accepted)), if ends_at.is_some() => {
-                let now = Instant::now();
-                // Who is in the middle of a head has the time that heads have.
-                ends_at = slot.head_since().filter(|began| *began + HEAD > now).map(|_| now + HALF_WAY);
-                if ends_at.is_none() {
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
+            () = sleep_until(ends_at.unwrap_or(accepted)), if ends_at.is_some() => Reason::Ends,
             () = sleep_until(due), if !ending => match (slot.quiet_since(), slot.head_since()) {
-                (None, _) => {}
-                (Some(_), Some(began)) if began + HEAD > Instant::now() => {}
-                // Nobody knows what it would have asked for.
-                (Some(_), Some(_)) => return,
-                (Some(quiet), None) if quiet + idle > Instant::now() => {}
-                // In the middle of a body it has a time of its own.
-                (Some(_), None) => {
-                    ending = true;
-                    connection.as_mut().graceful_shutdown();
-                }
+                (Some(_), Some(began)) if began + HEAD <= Instant::now() => Reason::HeadOverdue,
+                (Some(quiet), None) if quiet + IDLE <= Instant::now() => Reason::Idle,
+                _ => continue,
             },
-            () = slot.let_go.notified() => {
-                // Who has begun to ask again is not quiet.
-                if !slot.is_busy() && slot.head_since().is_none() && !ending {
-                    ending = true;
-                    connection.as_mut().graceful_shutdown();
+            () = slot.let_go.notified(), if !ending => Reason::LetGo,
+            () = slot.make_room.notified() => Reason::MakeRoom,
+        };
+        // Whatever is in the socket by now came first. A request that does is answered, and one that has begun is waited for.
+        let before = slot.reads();
+        slot.look();
+        if poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx).is_ready())).await {
+            return;
+        }
+        let came = slot.reads() != before;
+        let holds = slot.holds();
+        let deed = match closing::deed(reason, holds) {
+            // Who has just spoken is neither idle nor quiet; the place of another is asked for next.
+            Deed::Shut | Deed::Drop if came && reason != Reason::Ends => Deed::Keep,
+            deed => deed,
+        };
+        let now = Instant::now();
+        match deed {
+            Deed::Keep => {
+                // Who is in the middle of a head has the time that heads have.
+                let over = slot.head_since().is_none_or(|began| began + HEAD <= now);
+                match (reason, over) {
+                    (Reason::Ends, true) => return,
+                    (Reason::Ends, false) => ends_at = Some(now + HALF_WAY),
+                    (Reason::MakeRoom, _) => slot.making_room.store(false, Ordering::Relaxed),
+                    _ => {}
                 }
             }
-            () = slot.make_room.notified() => {
-                // A request may have come in this very moment: it is answered first.
-                if !slot.is_busy() {
-                    return;
+            Deed::Drop => return,
+            Deed::Shut | Deed::AfterAnswer => {
+                if reason == Reason::Ends {
+                    ends_at = None;
                 }
+                ending = true;
                 connection.as_mut().graceful_shutdown();
             }
         }
@@ -534,3 +546,6 @@
     response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod calls;
 pub mod client;
+pub mod closing;
 pub mod config;
 pub mod connection;
 pub mod console;
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -209,11 +209,18 @@
             // It gets its one answer while clients may still come.
             Stage::Leaving => used.then_some(self.since),
             Stage::Closing if used => Some(self.since),
-            Stage::Closing => Some(accepted + ABOUT_TO),
+            Stage::Closing => Some((accepted + ABOUT_TO).min(self.last_call()).max(self.since)),
             Stage::HandedOver if used => Some(self.since + self.linger),
             Stage::HandedOver => Some((accepted + ABOUT_TO).max(self.since + self.linger)),
         }
     }
+
+    /// Until when a connection that holds nothing may wait for a request: later than this none could be answered before all
+    /// is over, and what is in a socket then was taken and is lost.
+    fn last_call(&self) -> Instant {
+        let none = self.since + ABOUT_TO;
+        self.overdue.and_then(|overdue| overdue.checked_sub(LAST_ANSWERS * 3)).unwrap_or(none)
+    }
 }
 
 #[cfg(test)]
@@ -267,6 +274,21 @@
         assert!(!life.is_overdue(later) && life.is_overdue(start + Duration::from_secs(3)));
     }
 
+    /// Where deadlines are short the end comes before a silent connection has had its time: it is closed while an answer
+    /// could still be given.
+    #[test]
+    fn a_silent_connection_is_closed_before_what_it_says_could_not_be_answered() {
+        let start = Instant::now();
+        let at_most = Duration::from_millis(60 + 640);
+        let mut life = Lifecycle::new(false, start);
+        life.wish(Wish::Drain(Drain::Close { linger: Duration::from_millis(550), at_most }), start);
+        let closing = start + Duration::from_millis(550);
+        assert!(life.advance(closing));
+        let until = life.idle_until(closing, false).expect("it is closed at some time");
+        assert!(until < life.answer_by().expect("there is an end"), "an answer still has its time");
+        assert!(until >= closing);
+    }
+
     /// Any order of wishes and of time passing.
     #[test]
     fn no_order_of_events_leads_out_of_an_end_or_leaves_a_connection_for_good() {
--- a/crates/sidecar/src/slot.rs
+++ b/crates/sidecar/src/slot.rs
@@ -8,6 +8,8 @@
 use tokio::sync::Notify;
 use tokio::time::{Duration, Instant};
 
+use crate::closing::Holds;
+
 /// The mark of a connection with an open request.
 const BUSY: u64 = u64::MAX;
 /// The mark of no time.
@@ -25,10 +27,17 @@
     doubled: AtomicU64,
     /// Whether it has carried a request.
     used: AtomicBool,
+    /// Whether a request has come whose body may still be coming.
+    in_body: AtomicBool,
+    /// Whether the socket itself is to be looked into next, and how often bytes have come.
+    look: AtomicBool,
+    reads: AtomicU64,
     /// Requests that have been answered.
     answered: AtomicU64,
     /// Who waits for the next one to be.
     waiting: Mutex<Option<Waker>>,
+    /// Whether it was told to make room, and has not been kept after all.
+    pub making_room: AtomicBool,
     /// Told to make room.
     pub make_room: Notify,
     /// Told that it has been quiet for too long, as things stand.
@@ -44,8 +53,12 @@
             head_since: AtomicU64::new(NEVER),
             doubled: AtomicU64::new(0),
             used: AtomicBool::new(false),
+            in_body: AtomicBool::new(false),
+            look: AtomicBool::new(false),
+            reads: AtomicU64::new(0),
             answered: AtomicU64::new(0),
             waiting: Mutex::default(),
+            making_room: AtomicBool::new(false),
             make_room: Notify::new(),
             let_go: Notify::new(),
         };
@@ -64,6 +77,7 @@
     /// A request has come.
     pub fn used(&self) {
         self.used.store(true, Ordering::Relaxed);
+        self.in_body.store(true, Ordering::Relaxed);
     }
 
     /// Whether one ever has.
@@ -73,12 +87,14 @@
 
     /// A request is open from now on.
     pub fn busy(&self) {
+        self.in_body.store(false, Ordering::Relaxed);
         self.quiet_since.store(BUSY, Ordering::Relaxed);
     }
 
     /// A request has been answered, and none is open from now on.
     pub fn free(&self) {
         self.quiet_since.store(self.now(), Ordering::Relaxed);
+        self.in_body.store(false, Ordering::Relaxed);
         self.answered.fetch_add(1, Ordering::Relaxed);
         let waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner).take();
         waiting.into_iter().for_each(Waker::wake);
@@ -106,6 +122,7 @@
     /// framed in two ways.
     pub fn came(&self, in_head: bool, doubled: Option<u64>) {
         let now = self.now();
+        self.reads.fetch_add(1, Ordering::Relaxed);
         if !in_head {
             self.head_since.store(NEVER, Ordering::Relaxed);
         } else if self.head_since.load(Ordering::Relaxed) == NEVER {
@@ -119,6 +136,31 @@
         }
     }
 
+    /// Has the next read look into the socket itself: the runtime hears of what came only when it next turns to the kernel.
+    pub fn look(&self) {
+        self.look.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the socket itself is to be looked into.
+    pub fn is_to_look(&self) -> bool {
+        self.look.swap(false, Ordering::Relaxed)
+    }
+
+    /// How often bytes have come.
+    pub fn reads(&self) -> u64 {
+        self.reads.load(Ordering::Relaxed)
+    }
+
+    /// What it holds.
+    pub fn holds(&self) -> Holds {
+        match (self.is_busy(), self.in_body.load(Ordering::Relaxed), self.head_since()) {
+            (true, ..) => Holds::Request,
+            (false, true, _) => Holds::Body,
+            (false, false, Some(_)) => Holds::Head,
+            (false, false, None) => Holds::Nothing,
+        }
+    }
+
     /// Whether the request of that number, from 1, was framed in two ways.
     pub fn is_doubled(&self, number: u64) -> bool {
         self.doubled.load(Ordering::Relaxed) == number
