Who waits as the listener is let go is taken in: the queue itself is asked first

Cause: at the end serve() let the listener go once accept() had nothing, but the runtime hears of a client only when it next turns to the kernel; one that was accepted by the kernel in that turn was reset: a new connection closed with no answer (front.rs). Change: before it is let go, the listening socket is asked directly. Measured: front/tests.rs plays three clients against the end of lingering in one turn; without the question the first gets no answer. Also guarded now, and sound before: SIGTERM before ready, SIGTERM twice and with SIGHUP, and settings unlike both customers' (crossings.rs).

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -276,3 +276,99 @@
     }
     assert_eq!(written.lock().unwrap().len(), 10, "of 200 that left none is sent on");
 }
+
+// --- The end ----------------------------------------------------------------------------------
+
+/// SIGTERM crosses a start that has no list yet: who waits in the accept queue is answered, and the end is in order.
+#[test]
+fn who_waits_for_a_process_that_is_told_to_end_before_it_is_ready_is_answered() {
+    let (address, _asked) = discovery(|_, _| {});
+    let mut sidecar = Sidecar::start(&config("127.0.0.1:0", address, "null", 1024, SETTINGS));
+    let mut client = Client::to(sidecar.address);
+    client.send("fetch", 6_000);
+    sidecar.signal("-TERM");
+    assert_eq!(client.read().expect("an answer").status(), 503);
+    assert!(sidecar.wait_exit().success());
+}
+
+/// Signals that come together or twice: what is held is answered, and a new configuration changes nothing about the end.
+#[test]
+fn further_signals_neither_hasten_nor_put_off_the_end() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let let_go = go.clone();
+    let upstream = Upstream::new(move |_| Deed::Wait(let_go.clone()));
+    let (mut sidecar, discovery) = Sidecar::with(&[&upstream]);
+    let mut held = Client::to(sidecar.address);
+    held.send("bill", 8_000);
+    until("it is held", || upstream.requests().len() == 1);
+    sidecar.reload(&config("127.0.0.1:0", discovery.address, "null", 1024, SETTINGS));
+    sidecar.signal("-TERM");
+    sidecar.wait_log("SIGTERM");
+    for signal in ["-TERM", "-HUP", "-TERM"] {
+        sidecar.signal(signal);
+    }
+    let mut late = Client::to(sidecar.address);
+    late.send("bill", 8_000);
+    until("who comes late is held as well", || upstream.requests().len() == 2);
+    go.store(1, Ordering::SeqCst);
+    for client in [&mut held, &mut late] {
+        assert_eq!(client.read().expect("a whole answer").body, b"late");
+    }
+    assert!(sidecar.wait_exit().success());
+    assert_eq!(upstream.requests().len(), 2, "each once");
+}
+
+// --- Settings of other customers --------------------------------------------------------------
+
+/// Short calls, discovery asked, loads in answers, tenants, nothing called off, a window shorter than connecting may take;
+/// keys that nobody knows.
+const SHORT: &str = r#"{"allowed":{"cancel":false,"connect_timeout":900.0,"max_attempts":3,"retry_after":true,
+"max_retry_after":400.0,"probes":true,"cpu_us_per_request":0.0,"of_tomorrow":[1,{"a":null}]},"azs":["quay","mill","dunes"],
+"classes":[{"name":"fetch","aim":40.0,"hard_limit":60.0,"importance":1.0,"late_worth":0.2,"effect":"repeatable"},
+{"name":"log","aim":50.0,"hard_limit":80.0,"importance":2.0,"effect":"by_key","dedup_scope":"all","window":300.0},
+{"name":"bill","aim":60.0,"hard_limit":90.0,"importance":4.0,"effect":"once"}],
+"invariants":{"cold_share":0.2,"warm_up":8000.0,"fall_multiple":2.8,"fall":1200.0,"must_ask_in":3000.0,"drain_grace":900.0},
+"kinds":["t4"],"membership_mode":"subscribe","peers_total":4,"rank":2,"period":2.0,"over_share_worth":0.2,
+"telemetry":{"how":"piggyback","columns":["inflight","util","qps"]},
+"tenants":[{"name":"acme","quota_per_s":50.0},{"name":"south","quota_per_s":80.0}],"zone":1}"#;
+
+/// Long calls, one attempt, nothing that may be repeated, no probes, reports, retry-after, zones, kinds or number.
+const LONG: &str = r#"{"allowed":{"max_attempts":1},
+"classes":[{"name":"bill","aim":12000.0,"hard_limit":30000.0,"importance":3.0,"effect":"once"}],
+"invariants":{"cold_share":0.15,"warm_up":18000.0,"fall_multiple":2.2,"fall":2500.0},
+"membership_mode":"automatic","peers_total":1,"telemetry":{}}"#;
+
+/// Guards against what only one customer's settings allow: every class is served, and the end comes in order.
+#[test]
+fn settings_unlike_each_other_are_served_and_ended() {
+    for (settings, classes) in [(SHORT, &["fetch", "log", "bill"][..]), (LONG, &["bill"][..])] {
+        let upstream = Upstream::new(|_| {
+            Deed::Answer(200, "X-Server-Load: TEXT inflight=1, util=0.1\r\n", b"served".to_vec())
+        });
+        let (mut sidecar, _discovery) = Sidecar::with_settings(&[&upstream], settings);
+        for class in classes {
+            // A machine that is held up may take longer than a class has: that is told, and no fault of the settings.
+            until(&format!("{class} is served"), || {
+                let mut client = Client::to(sidecar.address);
+                client.send(class, 2_000);
+                client.read().is_some_and(|answer| answer.status() == 200)
+            });
+        }
+        sidecar.signal("-TERM");
+        assert!(sidecar.wait_exit().success());
+    }
+    // What is out of range is one plain line before anything listens.
+    for (from, to, key) in [
+        (r#""drain_grace":900.0"#, r#""drain_grace":-1"#, "drain_grace"),
+        (r#""max_attempts":3"#, r#""max_attempts":0"#, "max_attempts"),
+        (r#""aim":40.0"#, r#""aim":"soon""#, "soon"),
+    ] {
+        assert!(SHORT.contains(from));
+        let text =
+            config("127.0.0.1:0", "127.0.0.1:1".parse().unwrap(), "null", 1024, &SHORT.replace(from, to));
+        let ended = spawn(&text).wait_with_output().unwrap();
+        let said = String::from_utf8(ended.stderr).unwrap();
+        assert_eq!((ended.status.code(), said.lines().count()), (Some(1), 1), "{said}");
+        assert!(said.contains(key) && !said.contains("listening"), "{said}");
+    }
+}
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -19,6 +19,7 @@
 use hyper_util::rt::TokioIo;
 use sagemast_decide::api::*;
 use sagemast_decide::settings::ClassForm;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::{Id, JoinSet};
@@ -190,22 +191,7 @@
             biased;
             Some(ended) = connections.join_next_with_id() => forget(&mut slots, ended),
             accepted = accept(held.as_ref().map(|(listener, _)| &**listener)), if room && accepting => match accepted {
-                Ok((stream, _)) => {
-                    // Another generation may have taken the last place since: then this one is a little over.
-                    let place = front.connections.take_beyond(CLOSING);
-                    let slot = Arc::new(Slot::new(slots.epoch));
-                    let (front, kept) = (front.clone(), slot.clone());
-                    let held = front.connections.clone();
-                    let task = connections.spawn(async move {
-                        connection(stream, &front, &slot).await;
-                        drop(place);
-                    });
-                    slots.by_task.insert(task.id(), kept);
-                    if held.held() > held.limit() {
-                        slots.make_room();
-                    }
-                    trim_at = slots.trim(held.limit() / QUIET_PART);
-                }
+                Ok((stream, _)) => trim_at = take_in(stream, &front, &mut slots, &mut connections),
                 Err(error) => {
                     front.log.line(format!("cannot accept: {error}"));
                     slots.make_room();
@@ -217,14 +203,48 @@
             }
             // All are busy, or closing already.
             () = sleep(ACCEPT_BACK_OFF), if !room && accepting => drop(slots.make_room()),
-            // Nobody waits: else it would have been accepted.
-            () = std::future::ready(()), if closing && accepting && room => release(&mut held),
+            // The socket itself is asked: the runtime may not have heard yet of who has just come.
+            () = std::future::ready(()), if closing && accepting && room => {
+                match held.as_ref().and_then(|(listener, _)| waiting(listener)) {
+                    Some(stream) => trim_at = take_in(stream, &front, &mut slots, &mut connections),
+                    None => release(&mut held),
+                }
+            }
             () = std::future::ready(()), if closing && held.is_none() && connections.is_empty() => return,
             changed = life.changed(), if !handed_over => if changed.is_err() { return },
         }
     }
 }
 
+/// Takes a connection in. When to trim the quiet ones next.
+fn take_in(
+    stream: TcpStream,
+    front: &Arc<Front>,
+    slots: &mut Slots,
+    connections: &mut JoinSet<()>,
+) -> Option<Instant> {
+    // Another generation may have taken the last place since: then this one is a little over.
+    let place = front.connections.take_beyond(CLOSING);
+    let slot = Arc::new(Slot::new(slots.epoch));
+    let (served, kept) = (front.clone(), slot.clone());
+    let task = connections.spawn(async move {
+        connection(stream, &served, &slot).await;
+        drop(place);
+    });
+    slots.by_task.insert(task.id(), kept);
+    if front.connections.held() > front.connections.limit() {
+        slots.make_room();
+    }
+    slots.trim(front.connections.limit() / QUIET_PART)
+}
+
+/// Who waits in the accept queue at this moment, if anyone does.
+fn waiting(listener: &TcpListener) -> Option<TcpStream> {
+    let (socket, _) = SockRef::from(listener).accept().ok()?;
+    socket.set_nonblocking(true).ok()?;
+    TcpStream::from_std(socket.into()).ok()
+}
+
 /// Lets the listener go, and tells so.
 fn release<F: FnOnce()>(held: &mut Option<(Arc<TcpListener>, F)>) {
     if let Some((listener, let_go)) = held.take() {
--- a/crates/sidecar/src/front/tests.rs
+++ b/crates/sidecar/src/front/tests.rs
@@ -17,8 +17,8 @@
     _task: tokio::task::JoinHandle<()>,
 }
 
-/// A connection to a front that refuses whatever comes.
-async fn serve_one() -> Served {
+/// A front that refuses whatever comes, and its life.
+fn refusing() -> (Arc<Front>, watch::Sender<Lifecycle>) {
     let (life, lives) = watch::channel(Lifecycle::new(false, Instant::now()));
     let form = ClassForm { name: "a".to_owned(), effect: Effect::Repeatable, put: false };
     let told = Outlet::to(|message| {
@@ -28,7 +28,7 @@
         true
     });
     let budgets = crate::budget::Budgets::of(8);
-    let front = Arc::new(Front::new(
+    let front = Front::new(
         Names { classes: vec![form], tenants: Vec::new() },
         lives,
         told,
@@ -36,11 +36,22 @@
         budgets.transfers.clone(),
         Arc::new(Vitals::new(std::iter::once("a"))),
         Log::process(),
-    ));
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let client =
-        std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("it connects");
+    );
+    (Arc::new(front), life)
+}
+
+fn connect(listener: &TcpListener) -> std::net::TcpStream {
+    let address = listener.local_addr().expect("an address");
+    let client = std::net::TcpStream::connect(address).expect("it connects");
     client.set_nonblocking(true).expect("it can wait for nothing");
+    client
+}
+
+/// A connection to a front that refuses whatever comes.
+async fn serve_one() -> Served {
+    let (front, life) = refusing();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let client = connect(&listener);
     let (stream, _) = listener.accept().await.expect("it comes");
     let slot = Arc::new(Slot::new(Instant::now()));
     let kept = slot.clone();
@@ -117,3 +128,29 @@
         assert_eq!(read(&mut served.client).await, "");
     }
 }
+
+/// Guards against letting the listener go while somebody waits in its queue of whom the runtime has not heard: a new
+/// connection that is closed with no answer.
+#[tokio::test]
+async fn who_comes_as_the_listener_is_let_go_is_answered() {
+    let (front, life) = refusing();
+    let listener = Arc::new(TcpListener::bind("127.0.0.1:0").await.expect("a port"));
+    let (at, let_go) = (listener.clone(), Arc::new(std::sync::atomic::AtomicBool::new(false)));
+    let told = let_go.clone();
+    tokio::spawn(serve(listener, front, move || told.store(true, Ordering::Relaxed)));
+    let wish =
+        Wish::Drain(Drain::Close { linger: Duration::from_secs(20), at_most: Duration::from_secs(30) });
+    life.send_modify(|life| assert!(life.wish(wish, Instant::now())));
+    // Until it waits for clients, and has been told of all that came before.
+    sleep(Duration::from_millis(20)).await;
+    // In one turn: the kernel has accepted the client, and then no more are wanted.
+    let mut clients = [connect(&at), connect(&at), connect(&at)];
+    drop(at);
+    clients.iter_mut().for_each(|client| client.write_all(REQUEST).expect("it is written"));
+    life.send_modify(|life| assert!(life.advance(Instant::now() + Duration::from_secs(25))));
+    for client in &mut clients {
+        let answer = read(client).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    }
+    assert!(let_go.load(Ordering::Relaxed));
+}
