--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -581,6 +581,7 @@
 
 // --- The console ------------------------------------------------------------------------------
 
+/// A port that was free just now.
 pub fn free() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -3,7 +3,7 @@
 mod loopback;
 
 use std::io::{BufRead, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::process::Child;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -11,43 +11,6 @@
 
 use loopback::*;
 
-/// A port that was free just now.
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
-/// A configuration with a console.
-fn with_console(config: &str, console: &str) -> String {
-    config.replacen('{', &format!(r#"{{"console":"{console}","#), 1)
-}
-
-/// A sidecar with a console, its discovery, and where the console is.
-fn operated(upstreams: &[&Upstream]) -> (Sidecar, Discovery, SocketAddr) {
-    let known = ready(upstreams);
-    let discovery = Discovery::new(&known);
-    let console = free();
-    let text = config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS);
-    let sidecar = Sidecar::start(&with_console(&text, &console.to_string()));
-    sidecar.wait_up();
-    (sidecar, discovery, console)
-}
-
-/// One call: status and body.
-fn call(console: SocketAddr, method: &str, path: &str) -> (u16, String) {
-    let mut client = Client::to(console);
-    client.write(format!("{method} {path} HTTP/1.1\r\nHost: console\r\n\r\n").as_bytes());
-    let answer = client.read().expect("an answer");
-    assert_eq!(answer.header("connection"), Some("close"), "one call to a connection");
-    assert_eq!(client.read_to_close().expect("a close"), b"");
-    (answer.status(), String::from_utf8(answer.body).unwrap())
-}
-
-fn figures(console: SocketAddr) -> serde_json::Value {
-    let (status, text) = call(console, "GET", "/api/telemetry");
-    assert_eq!(status, 200);
-    serde_json::from_str(&text).unwrap()
-}
-
 fn up(sidecar: &Sidecar) -> u16 {
     Client::to(sidecar.address).get("/up").expect("an answer").status()
 }
