Answers without a length are held while they can be replaced, and end in time

Seen by reading and forced on sockets: an answer that states no length went on as it came 100 ms after its head, however short (upstream.rs, exchange). To a client of HTTP/1.0 the torn answer looked whole.

Now such an answer is held until it is whole, over 64 KiB, or until its attempt's time or 1.5 s are over; to its aim only where long ones were seen (answer_hold.rs). It takes the room of a long transfer meanwhile; without room it goes on after 100 ms as before and is counted (unheld_answers). What is under way and may be short ends 250 ms after the deadline unless it makes progress; a torn close-delimited answer ends with a reset. One pure function says which bound ends a request in which state (request_bound.rs); front, driver, attempts and streams ask it.

Ruled out: known lengths up to 64 KiB were held whole already.

--- a/crates/cli/tests/loopback/judge.rs
+++ b/crates/cli/tests/loopback/judge.rs
@@ -56,7 +56,7 @@
         }
         Deed::Raw(bytes) | Deed::RawAndClose(bytes) | Deed::RawAndReset(bytes) => !turns_away(bytes),
         // The test itself knows.
-        Deed::Play(_) => return,
+        Deed::Play(_) | Deed::PlayAndReset(_) => return,
         _ => true,
     };
     with_case(id, |case| {
--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -116,6 +116,8 @@
     RawAndReset(&'static [u8]),
     /// Does this with the connection, which goes on if it says so.
     Play(Arc<dyn Fn(&mut TcpStream) -> bool + Send + Sync>),
+    /// Does this with the connection, and resets it.
+    PlayAndReset(Arc<dyn Fn(&mut TcpStream) + Send + Sync>),
 }
 
 impl Deed {
@@ -123,6 +125,10 @@
         Deed::Play(Arc::new(what))
     }
 
+    pub fn play_and_reset(what: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> Deed {
+        Deed::PlayAndReset(Arc::new(what))
+    }
+
     pub fn ok(body: &str) -> Deed {
         Deed::Answer(200, "", body.as_bytes().to_vec())
     }
@@ -228,6 +234,11 @@
                     return drop(reader.get_ref().shutdown(Shutdown::Both));
                 }
             }
+            Deed::PlayAndReset(what) => {
+                what(&mut writer);
+                let _ = rustix::net::sockopt::set_socket_linger(&writer, Some(Duration::ZERO));
+                return;
+            }
             Deed::Wait(go) => {
                 until("the test lets go", || go.load(Ordering::SeqCst) > 0);
                 let _ = writer.write_all(&answer(200, "", b"late"));
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -17,7 +17,7 @@
 use crate::presence::{Presence, Shared};
 use crate::slot::Slot;
 use crate::transfer::framing::Framing;
-use crate::transfer::limits::STILL;
+use crate::transfer::limits::STREAM_IDLE_TIMEOUT;
 
 /// After the end of our writing we read on for this long, until the client closes as well: bytes that wait unread when
 /// a socket is closed reset it, and the client may lose an answer that was on its way.
@@ -137,7 +137,7 @@
             self.stuck = None;
             return result;
         }
-        let stuck = self.stuck.get_or_insert_with(|| Box::pin(sleep(STILL)));
+        let stuck = self.stuck.get_or_insert_with(|| Box::pin(sleep(STREAM_IDLE_TIMEOUT)));
         match stuck.as_mut().poll(cx) {
             Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
             Poll::Pending => Poll::Pending,
@@ -239,6 +239,15 @@
     }
 }
 
+impl Drop for Client {
+    fn drop(&mut self) {
+        if self.slot.is_reset_on_close() {
+            // Where that cannot be had it is closed as usual.
+            let _ = SockRef::from(&*lock(&self.stream)).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use std::io::Write;
--- a/crates/sidecar/src/counted.rs
+++ b/crates/sidecar/src/counted.rs
@@ -18,7 +18,7 @@
 use crate::execution::Written;
 use crate::presence::{self, Found, Terms};
 use crate::transfer::framing::Framing;
-use crate::transfer::limits::STILL;
+use crate::transfer::limits::STREAM_IDLE_TIMEOUT;
 use crate::transfer::patience::Patience;
 use crate::vitals::Vitals;
 
@@ -247,7 +247,7 @@
             self.stuck = None;
             return result;
         }
-        let stuck = self.stuck.get_or_insert_with(|| Box::pin(sleep(STILL)));
+        let stuck = self.stuck.get_or_insert_with(|| Box::pin(sleep(STREAM_IDLE_TIMEOUT)));
         match stuck.as_mut().poll(cx) {
             Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
             Poll::Pending => Poll::Pending,
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -26,6 +26,7 @@
 use crate::log::Log;
 use crate::messages::{Arrival, End, Final, Flight, Forward, FromClients, Outlet};
 use crate::presence::Terms;
+use crate::request_bound::{Deadline, RequestState, bound};
 use crate::servers::Servers;
 use crate::silence::{self, Times};
 use crate::transfer::outgoing::Outgoing;
@@ -34,11 +35,6 @@
 use crate::vitals::{Came, Vitals};
 use crate::writing;
 
-/// The module is told this much less than the client waits: its last word must reach the client in time. An
-/// answer takes a fraction of a millisecond to it; the rest is for a turn in which much else is to be done.
-const IN_HAND: Duration = Duration::from_millis(3);
-/// What the module has not ended by then, the driver does.
-const BACKSTOP: Duration = Duration::from_micros(1_500);
 /// Once its time to connect is over an attempt is written within this or not at all: the rest of a turn in which much else
 /// is to be done.
 const WRITE_IN: Duration = Duration::from_millis(10);
@@ -132,7 +128,9 @@
     forward: Arc<Forward>,
     reply: oneshot::Sender<Final>,
     sends: u32,
-    deadline: Instant,
+    deadline: Deadline,
+    /// By when its client should have the answer.
+    aim_at: Instant,
     /// How long its client waits, from its last byte on.
     time_left: Duration,
     /// Set once its last byte has come, and with that it is taken.
@@ -186,6 +184,8 @@
     settings: SettingsObject,
     columns: Vec<Column>,
     class_names: Vec<String>,
+    /// By class: how soon its clients should have their answers.
+    aims: Vec<Option<Duration>>,
     subscribed: bool,
     sidecars: u32,
     vitals: Arc<Vitals>,
@@ -249,6 +249,8 @@
         if let Discovery::Subscribed { must_ask_in } = &mut told.discovery {
             *must_ask_in = must_ask_in.min(silence::TOLD.as_secs_f64() * 1e3);
         }
+        let aims =
+            told.classes.iter().map(|class| Duration::try_from_secs_f64(class.aim / 1e3).ok()).collect();
         let (subscribed, sidecars) = (matches!(told.discovery, Discovery::Subscribed { .. }), told.sidecars);
         let mut module = Balancer::new(told, seed);
         Crossing::bring_into_force(crossing, &mut module, sidecars, 0.0);
@@ -256,6 +258,7 @@
             log: log.clone(),
             vitals: vitals.clone(),
             patience: Arc::default(),
+            lengths: Arc::default(),
             transfers: budgets.transfers.clone(),
         };
         let driver = Driver {
@@ -263,6 +266,7 @@
             sidecars,
             module,
             columns: settings.columns(),
+            aims,
             class_names: settings.classes().into_iter().map(|form| form.name).collect(),
             vitals,
             log,
@@ -551,14 +555,16 @@
             return;
         }
         let uploads = forward.body.upload().is_some();
-        let deadline = at + time_left.saturating_sub(IN_HAND);
+        let deadline = Deadline::new(at, time_left, None);
         let forward = Arc::new(forward);
-        let open = Open { id, class, forward, reply, sends: 0, deadline, time_left, timer: None };
+        let aim = self.aims.get(class.0).copied().flatten().unwrap_or(time_left);
+        let aim_at = at + aim.min(time_left);
+        let open = Open { id, class, forward, reply, sends: 0, deadline, aim_at, time_left, timer: None };
         self.open.insert(request, open);
         if !uploads {
             self.taken(request, at);
         }
-        let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
+        let time_left = deadline.attempts_by().saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         self.event(Event::Arrived { request, class, tenant, time_left });
     }
 
@@ -566,13 +572,12 @@
     fn taken(&mut self, request: RequestId, at: Instant) {
         let Some(open) = self.open.get(&request).filter(|open| open.timer.is_none()) else { return };
         // A process that ends has no more time than that: who comes late is answered while it lasts.
-        let ends = self.life.borrow().answer_by();
-        let most = ends.map_or(open.time_left, |ends| ends.saturating_duration_since(at));
-        let time_left = open.time_left.min(most);
+        let process_ends = self.life.borrow().answer_by();
+        let deadline = Deadline::new(at, open.time_left, process_ends);
         self.vitals.taken(open.class);
-        let timer = self.set_timer(at + time_left.saturating_sub(BACKSTOP), Timer::Backstop(request));
+        let timer = self.set_timer(bound(RequestState::Queued(deadline)).at, Timer::Backstop(request));
         if let Some(open) = self.open.get_mut(&request) {
-            open.deadline = at + time_left.saturating_sub(IN_HAND);
+            open.deadline = deadline;
             open.timer = Some(timer);
         }
     }
@@ -689,12 +694,13 @@
         let gone = open.forward.body.upload().is_some_and(|upload| !upload.can_be_sent());
         let timeout = Duration::try_from_secs_f64(timeout / 1e3).unwrap_or_default();
         let until = match now.checked_add(timeout) {
-            Some(until) if !timeout.is_zero() => until.min(open.deadline),
-            _ => open.deadline,
+            Some(until) if !timeout.is_zero() => until.min(open.deadline.attempts_by()),
+            _ => open.deadline.attempts_by(),
         };
+        let (aim_at, deadline) = (open.aim_at, open.deadline.at());
         let life = self.servers.get(upstream).map_or(0, |server| server.life);
         let connect_by = now + self.connect_time;
-        let flight = Flight { request, attempt, upstream, life, until, connect_by };
+        let flight = Flight { request, attempt, upstream, life, until, connect_by, aim_at, deadline };
         self.sent.insert((request, attempt), Sent { flight, at: now, give_up: None, given_up: false, body });
         if gone {
             // Its body has passed, and there is no other.
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -32,10 +32,11 @@
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::log::Log;
 use crate::messages::{Arrival, Final, Forward, FromClients, Outlet};
+use crate::request_bound::{RequestState, bound};
 use crate::slot::Slot;
 use crate::transfer::answer::Payload;
 use crate::transfer::gathered::Gathered;
-use crate::transfer::limits::{HEAD, MOST_BYTES, WHOLE_BYTES, body_by};
+use crate::transfer::limits::{HEAD, MOST_BYTES, WHOLE_BYTES};
 use crate::transfer::outgoing::Kept;
 use crate::transfer::upload::Upload;
 use crate::vitals::Vitals;
@@ -276,10 +277,10 @@
     let now = *life.borrow_and_update();
     let heard = AtomicU64::new(0);
     let accepted = Instant::now();
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         let number = heard.fetch_add(1, Ordering::Relaxed) + 1;
         slot.used();
-        let front = front.clone();
+        let (front, version) = (front.clone(), request.version());
         async move {
             let mut response = if slot.is_doubled(number) {
                 plain(StatusCode::BAD_REQUEST, "two framings")
@@ -287,7 +288,7 @@
                 handle(request, &front, slot).await
             };
             if response.body().is_stream() {
-                response.body_mut().occupies(slot);
+                response.body_mut().occupies(slot, version);
             } else {
                 slot.free();
             }
@@ -452,7 +453,8 @@
 ) -> Result<(Bytes, Option<Incoming>), Malformed> {
     let mut gathered = Gathered::default();
     while !body.is_end_stream() {
-        match timeout_at(body_by(began, gathered.length() as u64), body.frame()).await {
+        let reading = RequestState::Reading { head_at: began, bytes: gathered.length() as u64 };
+        match timeout_at(bound(reading).at, body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 // Trailers end with the connection that they came on.
                 if let Ok(data) = frame.into_data() {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod log;
 pub mod messages;
 pub mod presence;
+pub mod request_bound;
 pub mod servers;
 pub mod silence;
 pub mod slot;
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::presence::Presence;
+use crate::request_bound::AttemptTimes;
 use crate::transfer::answer::Payload;
 use crate::transfer::outgoing::Kept;
 
@@ -114,6 +115,17 @@
     pub until: Instant,
     /// By when it must have its connection: counted once, however many it tries.
     pub connect_by: Instant,
+    /// By when its client should have the answer.
+    pub aim_at: Instant,
+    /// When its client stops waiting.
+    pub deadline: Instant,
+}
+
+impl Flight {
+    /// Its times, as its bounds depend on them.
+    pub fn times(&self) -> AttemptTimes {
+        AttemptTimes { connect_by: self.connect_by, until: self.until }
+    }
 }
 
 /// An upstream's answer.
--- a/crates/sidecar/src/slot.rs
+++ b/crates/sidecar/src/slot.rs
@@ -35,6 +35,8 @@
     reads: AtomicU64,
     /// Requests that have been answered.
     answered: AtomicU64,
+    /// Whether its end would be taken for the end of an answer that is not whole.
+    reset_on_close: AtomicBool,
     /// Whose connection it is.
     client: OnceLock<Presence>,
     /// Who waits for the next one to be.
@@ -60,6 +62,7 @@
             look: AtomicBool::new(false),
             reads: AtomicU64::new(0),
             answered: AtomicU64::new(0),
+            reset_on_close: AtomicBool::new(false),
             client: OnceLock::new(),
             waiting: Mutex::default(),
             making_room: AtomicBool::new(false),
@@ -120,6 +123,16 @@
         self.answered.load(Ordering::Relaxed)
     }
 
+    /// Has the connection reset when it is closed.
+    pub fn reset_on_close(&self) {
+        self.reset_on_close.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the connection is to be reset when it is closed.
+    pub fn is_reset_on_close(&self) -> bool {
+        self.reset_on_close.load(Ordering::Relaxed)
+    }
+
     /// Has this woken when the next one is.
     pub fn wake_when_answered(&self, waker: &Waker) {
         let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/sidecar/src/transfer/answer.rs
+++ b/crates/sidecar/src/transfer/answer.rs
@@ -7,12 +7,16 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use hyper::Version;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::{Instant, Sleep, sleep_until};
 
-use super::limits::{MOST_BYTES, STILL};
+use super::answer_hold::AnswerLengths;
+use super::limits::{MOST_BYTES, WHOLE_BYTES};
+use super::patience::Patience;
 use crate::budget::Taken;
 use crate::connection::Connection;
+use crate::request_bound::{RequestState, StreamProgress, bound};
 use crate::slot::Slot;
 use crate::vitals::Came;
 
@@ -42,10 +46,12 @@
         }
     }
 
-    /// Keeps a client's connection from counting as free until it is through.
-    pub fn occupies(&mut self, slot: &Arc<Slot>) {
+    /// Keeps a client's connection from counting as free until it is through. A client of HTTP/1.0 can tell the end of an
+    /// answer of unknown length only by the end of its connection.
+    pub fn occupies(&mut self, slot: &Arc<Slot>, version: Version) {
         if let Payload::Stream(stream) = self {
             stream.slot = Some(slot.clone());
+            stream.delimited_by_close = version == Version::HTTP_10 && stream.length.is_none();
         }
     }
 
@@ -81,13 +87,28 @@
     passed: u64,
     connection: Option<Connection>,
     end: Option<End>,
-    still: Pin<Box<Sleep>>,
+    /// When its client stops waiting for a short answer.
+    deadline: Instant,
+    learnt: Learnt,
+    /// Since when it has waited for the upstream, while it does.
+    waiting_since: Option<Instant>,
+    timer: Pin<Box<Sleep>>,
     ended: bool,
     torn: bool,
     slot: Option<Arc<Slot>>,
+    delimited_by_close: bool,
     _room: Taken,
 }
 
+/// What the answers of an instance have taught, and what is learnt from this one.
+#[derive(Clone)]
+pub struct Learnt {
+    /// How long answers pause.
+    pub patience: Arc<Patience>,
+    /// How long those turn out that state no length.
+    pub lengths: Arc<AnswerLengths>,
+}
+
 /// What a stream is made of.
 pub struct Parts {
     /// Bytes that have been read already.
@@ -102,12 +123,16 @@
     pub end: End,
     /// The room that it takes.
     pub room: Taken,
+    /// When its client stops waiting for a short answer.
+    pub deadline: Instant,
+    /// What was learnt from others.
+    pub learnt: Learnt,
 }
 
 impl Stream {
     /// One that has just begun.
     pub fn new(parts: Parts) -> Stream {
-        let Parts { first, rest, length, connection, end, room } = parts;
+        let Parts { first, rest, length, connection, end, room, deadline, learnt } = parts;
         Stream {
             first: Some(first).filter(|first| !first.is_empty()),
             rest,
@@ -115,10 +140,14 @@
             passed: 0,
             connection: Some(connection),
             end: Some(end),
-            still: Box::pin(sleep_until(Instant::now() + STILL)),
+            deadline,
+            learnt,
+            waiting_since: None,
+            timer: Box::pin(sleep_until(deadline)),
             ended: false,
             torn: false,
             slot: None,
+            delimited_by_close: false,
             _room: room,
         }
     }
@@ -128,15 +157,39 @@
         if self.passed > MOST_BYTES {
             return self.tear(Torn::TooLong);
         }
-        self.still.as_mut().reset(Instant::now() + STILL);
+        self.waiting_since = None;
         Poll::Ready(Some(Ok(Frame::data(data))))
     }
 
     fn tear(&mut self, why: Torn) -> Poll<Option<Result<Frame<Bytes>, Torn>>> {
         self.torn = true;
+        if let Some(slot) = self.slot.as_ref().filter(|_| self.delimited_by_close) {
+            slot.reset_on_close();
+        }
         Poll::Ready(Some(Err(why)))
     }
 
+    /// Nothing has come: whether that has lasted for too long.
+    fn poll_overdue(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.waiting_since.is_none() {
+            let now = Instant::now();
+            self.waiting_since = Some(now);
+            let ends_at = bound(RequestState::Streaming(self.progress(now))).at;
+            self.timer.as_mut().reset(ends_at);
+        }
+        self.timer.as_mut().poll(cx)
+    }
+
+    fn progress(&self, waiting_since: Instant) -> StreamProgress {
+        StreamProgress {
+            deadline: self.deadline,
+            waiting_since,
+            longest_pause: self.learnt.patience.learnt(),
+            passed_bytes: self.passed,
+            length: self.length,
+        }
+    }
+
     fn is_whole(&self) -> bool {
         !self.torn && (self.ended || self.length == Some(self.passed))
     }
@@ -167,7 +220,7 @@
                     this.ended = true;
                     return Poll::Ready(None);
                 }
-                Poll::Pending if this.still.as_mut().poll(cx).is_ready() => return this.tear(Torn::Still),
+                Poll::Pending if this.poll_overdue(cx).is_ready() => return this.tear(Torn::Still),
                 Poll::Pending => return Poll::Pending,
             }
         }
@@ -186,6 +239,10 @@
 impl Drop for Stream {
     fn drop(&mut self) {
         let whole = self.is_whole();
+        let is_long = self.passed > WHOLE_BYTES as u64;
+        if self.length.is_none() && (whole || is_long) {
+            self.learnt.lengths.learn(is_long);
+        }
         let came = match (whole, self.torn) {
             (true, _) => Came::Served,
             (false, true) => Came::Failed,
--- a/crates/sidecar/src/transfer/limits.rs
+++ b/crates/sidecar/src/transfer/limits.rs
@@ -16,10 +16,7 @@
 /// and as long as its bytes take at this rate a second: half of what the slowest honest client sends.
 const LEAST_RATE: u64 = 32 << 10;
 /// A transfer under way in which nothing moves for this long has ended.
-pub const STILL: Duration = Duration::from_secs(10);
-/// An answer of unknown length that still comes after this long goes on as it comes: the first bytes are what a client
-/// waits for, and those that are short are whole by then.
-pub const COMING: Duration = Duration::from_millis(100);
+pub const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// When a body that has come so far must be whole, or have brought more.
 pub fn body_by(head_at: Instant, bytes: u64) -> Instant {
     head_at + BODY + Duration::from_micros(bytes.saturating_mul(1_000_000) / LEAST_RATE)
--- a/crates/sidecar/src/transfer/patience.rs
+++ b/crates/sidecar/src/transfer/patience.rs
@@ -41,6 +41,11 @@
         if self.asked.fetch_add(1, Ordering::Relaxed) % TRY_OUT == TRY_OUT - 1 {
             return MOST;
         }
+        self.learnt()
+    }
+
+    /// What was learnt of how long answers pause, without trying out whether it is still true.
+    pub fn learnt(&self) -> Duration {
         (Duration::from_micros(self.gap.load(Ordering::Relaxed)) * TIMES).clamp(LEAST, MOST)
     }
 
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -14,16 +15,18 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::budget::{Permit, Room};
+use crate::budget::{Permit, Room, Taken};
 use crate::connection::Connection;
 use crate::counted::Meter;
 use crate::execution::{self, How, Written};
 use crate::log::Log;
 use crate::messages::{Answer, End, Flight, Outlet};
 use crate::presence::Terms;
+use crate::request_bound::{RequestState, bound};
 use crate::transfer::answer::{self, Payload, Stream};
+use crate::transfer::answer_hold::{AnswerLengths, HoldTimes, SHORT_HOLD, hold_until};
 use crate::transfer::gathered::Gathered;
-use crate::transfer::limits::{self, COMING, Plan, WHOLE_BYTES};
+use crate::transfer::limits::{self, Plan, WHOLE_BYTES};
 use crate::transfer::outgoing::{Kept, Outgoing};
 use crate::transfer::patience::Patience;
 use crate::transfer::upload::{Fate, Upload};
@@ -52,17 +55,77 @@
 enum Got {
     /// All of it.
     Whole(Answer),
-    /// Its head and first bytes; it goes on as it comes.
-    Begun { head: hyper::http::response::Parts, first: Bytes, rest: Incoming, length: Option<u64> },
+    /// Its head and first bytes; it goes on as it comes. It has room for that if it was held.
+    Begun { head: Parts, first: Bytes, rest: Incoming, length: Option<u64>, room: Option<Taken> },
     /// Its head; what follows is of no use to anyone.
     Head(Answer),
 }
 
-/// Sends a request once and reads its answer: whole, or until it may go on as it comes.
+/// What the holding of an answer of unknown length goes by.
+struct Holder<'a> {
+    flight: &'a Flight,
+    common: &'a Common,
+    meter: &'a Meter,
+}
+
+/// The hold of one answer of unknown length.
+struct Hold<'a> {
+    holder: &'a Holder<'a>,
+    head_at: Instant,
+    until: Instant,
+    /// The room that it takes once it has lasted for longer than [`SHORT_HOLD`]; it goes on in the same.
+    room: Option<Taken>,
+}
+
+impl<'a> Hold<'a> {
+    fn new(holder: &'a Holder<'a>) -> Hold<'a> {
+        let head_at = Instant::now();
+        Hold { holder, head_at, until: head_at + SHORT_HOLD, room: None }
+    }
+
+    /// Comes back when the answer is not to be held any longer. One that has stopped is held on: nobody gains by its head, and
+    /// another attempt can still replace it.
+    async fn is_over(&mut self) {
+        loop {
+            sleep_until(self.until).await;
+            if !self.lengthen() {
+                self.comes_on().await;
+                return;
+            }
+        }
+    }
+
+    /// Once its first time is over: goes on for as long as the answer is worth holding, if there is room.
+    fn lengthen(&mut self) -> bool {
+        if self.room.is_some() {
+            return false;
+        }
+        let Holder { flight, common, .. } = self.holder;
+        self.room = common.transfers.take();
+        if self.room.is_none() {
+            common.vitals.unheld_answers.fetch_add(1, Ordering::Relaxed);
+            return false;
+        }
+        let times = HoldTimes { head_at: self.head_at, aim_at: flight.aim_at, attempt_until: flight.until };
+        self.until = hold_until(times, common.lengths.long_expected());
+        true
+    }
+
+    /// Waits until bytes have come of late.
+    async fn comes_on(&self) {
+        let Holder { common, meter, .. } = self.holder;
+        while meter.read_at() + common.patience.learnt() < Instant::now() {
+            sleep_until(Instant::now() + SHORT_HOLD).await;
+        }
+    }
+}
+
+/// Sends a request once and reads its answer: whole, or until it may go on as it comes. What nobody waits for is not held.
 async fn exchange(
     sender: &mut SendRequest<Outgoing>,
     mut request: Request<Outgoing>,
     meter: &Arc<Meter>,
+    holder: Option<&Holder<'_>>,
 ) -> Result<Got, Broken> {
     let notices = meter.clone();
     hyper::ext::on_informational(&mut request, move |_| notices.answer_is_to_come());
@@ -74,21 +137,27 @@
     }
     let length = body.size_hint().exact();
     let served = head.status == StatusCode::OK;
-    let (plan, coming) = match limits::plan(length) {
+    let plan = match limits::plan(length) {
         Plan::TooLong if served => return Err(Broken::Unfit("an answer that is too long")),
         // What it says beside its status goes to nobody.
-        Plan::TooLong | Plan::Stream if !served => {
-            let Parts { status, headers, .. } = head;
-            return Ok(Got::Head(Answer { status, headers, body: Payload::Whole(Bytes::new()) }));
-        }
-        plan => (plan, Instant::now() + COMING),
+        Plan::TooLong | Plan::Stream if !served => return Ok(Got::Head(head_only(head))),
+        plan => plan,
     };
+    let mut hold = holder.filter(|_| plan == Plan::Wait && served).map(Hold::new);
     let mut gathered = Gathered::default();
     loop {
-        let frame = body.frame().await;
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = over(&mut hold) => break,
+        };
         match frame {
             None => {
                 meter.answered();
+                // Those that were whole at once say nothing of those that are not.
+                if let Some(Hold { holder, room: Some(_), .. }) = &hold {
+                    holder.common.lengths.learn(false);
+                }
                 let (Parts { status, headers, .. }, body) = (head, Payload::Whole(gathered.take()));
                 return Ok(Got::Whole(Answer { status, headers, body }));
             }
@@ -100,19 +169,30 @@
             }
             Some(Err(_)) => return Err(Broken::Cut),
         }
-        let long = gathered.length() > WHOLE_BYTES;
+        let is_long = gathered.length() > WHOLE_BYTES;
         match plan {
-            Plan::Wait if long && !served => {
-                let Parts { status, headers, .. } = head;
-                return Ok(Got::Head(Answer { status, headers, body: Payload::Whole(Bytes::new()) }));
-            }
-            // What comes no further is waited for in vain: only one that still comes goes on.
-            Plan::Wait if long || (served && Instant::now() >= coming) => break,
+            Plan::Wait if is_long && !served => return Ok(Got::Head(head_only(head))),
+            Plan::Wait if is_long => break,
             Plan::Stream => break,
             _ => {}
         }
     }
-    Ok(Got::Begun { head, first: gathered.take(), rest: body, length })
+    let room = hold.and_then(|hold| hold.room);
+    Ok(Got::Begun { head, first: gathered.take(), rest: body, length, room })
+}
+
+/// An answer of which nothing but its status is of use.
+fn head_only(head: Parts) -> Answer {
+    let Parts { status, headers, .. } = head;
+    Answer { status, headers, body: Payload::Whole(Bytes::new()) }
+}
+
+/// Comes back when a hold is over; never where there is none.
+async fn over(hold: &mut Option<Hold<'_>>) {
+    match hold {
+        Some(hold) => hold.is_over().await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Comes back when an answer that has begun comes no further for longer than is worth waiting.
@@ -189,7 +269,7 @@
     told: Outlet<FromUpstreams>,
 ) {
     let result = tokio::select! {
-        result = Connection::open(dial, flight.connect_by.min(flight.until), permit) => result,
+        result = Connection::open(dial, bound(RequestState::Connecting(flight.times())).at, permit) => result,
         _ = given_up => Err("given up".to_owned()),
     };
     told.tell(FromUpstreams::Connected(flight, result.map(Box::new)));
@@ -204,6 +284,8 @@
     pub vitals: Arc<Vitals>,
     /// How long answers that stop are waited for.
     pub patience: Arc<Patience>,
+    /// How long those turn out that state no length.
+    pub lengths: Arc<AnswerLengths>,
     /// Room for answers that go on as they come.
     pub transfers: Room,
 }
@@ -238,6 +320,7 @@
         return give_back(Some(connection), flight.upstream, flight.life, &told);
     }
     let (meter, port) = (connection.meter.clone(), connection.port);
+    let client_waits = flight.deadline.saturating_duration_since(Instant::now());
     meter.begin(Some((common.vitals.clone(), common.patience.clone())), terms);
     let upload = body.upload().cloned();
     *request.body_mut() = match body {
@@ -255,19 +338,19 @@
         },
     };
     let (how, answer) = {
+        let holder = Holder { flight: &flight, common: &common, meter: &meter };
         let exchange = async {
-            let got = exchange(&mut connection.sender, request, &meter).await?;
-            // Room for what goes on as it comes; until there is some it waits with its upstream.
-            let room = match &got {
-                Got::Begun { .. } => common.transfers.wait().await,
-                Got::Whole(_) | Got::Head(_) => None,
-            };
-            Ok((got, room))
+            let mut got = exchange(&mut connection.sender, request, &meter, Some(&holder)).await?;
+            // Until there is room for what goes on as it comes, it waits with its upstream.
+            if let Got::Begun { room: room @ None, .. } = &mut got {
+                *room = common.transfers.wait().await;
+            }
+            Ok(got)
         };
         tokio::select! {
             biased;
             result = exchange => match result {
-                Ok((Got::Whole(answer), _)) => {
+                Ok(Got::Whole(answer)) => {
                     common.patience.whole();
                     let says = execution::says(answer.status, execution::is_marked(&answer.headers));
                     // What answers before it has all of a request goes on reading it: that must not arrive any more.
@@ -279,10 +362,10 @@
                     (How::Answered(says), Some(answer))
                 }
                 // Nobody has seen that it is sound to its end, so that a mark on it proves nothing.
-                Ok((Got::Head(answer), _)) => {
+                Ok(Got::Head(answer)) => {
                     (How::Answered(execution::says(answer.status, false)), Some(answer))
                 }
-                Ok((Got::Begun { head, first, rest, length }, Some(room))) => {
+                Ok(Got::Begun { head, first, rest, length, room: Some(room) }) => {
                     let streamed = told.clone();
                     let end = Box::new(move |came, connection: Option<Connection>| {
                         streamed.tell(FromUpstreams::Streamed { request: flight.request, came });
@@ -294,14 +377,22 @@
                             });
                         }
                     });
-                    let parts = answer::Parts { first, rest, length, connection, end, room };
+                    let deadline = match upload.as_deref().map(Upload::fate) {
+                        Some(Fate::Whole(at)) => at + client_waits,
+                        _ => flight.deadline,
+                    };
+                    let learnt = answer::Learnt {
+                        patience: common.patience.clone(),
+                        lengths: common.lengths.clone(),
+                    };
+                    let parts = answer::Parts { first, rest, length, connection, end, room, deadline, learnt };
                     let body = Payload::Stream(Box::new(Stream::new(parts)));
                     let answer = Answer { status: head.status, headers: head.headers, body };
                     let end = End::Outcome(Outcome::Ok, Some(answer));
                     told.tell(FromUpstreams::Ended { flight, end, wire: Wire { port, bytes: meter.taken() } });
                     return;
                 }
-                Ok((Got::Begun { .. }, None)) => (How::Spoilt, None),
+                Ok(Got::Begun { room: None, .. }) => (How::Spoilt, None),
                 Err(Broken::Cut) if upload.as_ref().is_some_and(|upload| upload.is_broken()) => {
                     (How::BodyBroke, None)
                 }
@@ -340,8 +431,9 @@
 
 /// Comes back when an attempt's time is up. That of an upload counts from its last byte.
 async fn due(flight: &Flight, upload: Option<&Upload>, told: &Outlet<FromUpstreams>) {
-    let Some(upload) = upload else { return sleep_until(flight.until).await };
-    let allowed = flight.until.saturating_duration_since(Instant::now());
+    let until = bound(RequestState::Sent(flight.times())).at;
+    let Some(upload) = upload else { return sleep_until(until).await };
+    let allowed = until.saturating_duration_since(Instant::now());
     if upload.fate() == Fate::Coming {
         told.tell(FromUpstreams::Uploads(*flight, Fate::Coming));
     }
@@ -372,7 +464,7 @@
     if let Ok(mut connection) = opened {
         let meter = connection.meter.clone();
         meter.begin(None, None);
-        let result = timeout_at(until, exchange(&mut connection.sender, request, &meter)).await;
+        let result = timeout_at(until, exchange(&mut connection.sender, request, &meter, None)).await;
         if let Ok(Ok(Got::Whole(got))) = result {
             answer = Some(got);
             told.tell(FromUpstreams::Probed { upstream, answer });
--- a/crates/sidecar/src/upstream/tests.rs
+++ b/crates/sidecar/src/upstream/tests.rs
@@ -25,7 +25,17 @@
     let permit = Budgets::of(1).permit(dial).unwrap();
     let connection = Connection::open(dial, until, permit).await.unwrap();
     let (request, attempt, upstream) = (RequestId(1), AttemptNo(0), UpstreamId(1));
-    (connection, Flight { request, attempt, upstream, life: 0, until, connect_by: until })
+    let flight = Flight {
+        request,
+        attempt,
+        upstream,
+        life: 0,
+        until,
+        connect_by: until,
+        aim_at: until,
+        deadline: until,
+    };
+    (connection, flight)
 }
 
 fn common() -> Common {
@@ -33,6 +43,7 @@
         log: Log::process(),
         vitals: Arc::new(Vitals::new(std::iter::empty())),
         patience: Arc::default(),
+        lengths: Arc::default(),
         transfers: Room::new(1),
     }
 }
--- a/crates/sidecar/src/vitals.rs
+++ b/crates/sidecar/src/vitals.rs
@@ -15,6 +15,8 @@
     classes: Box<[ClassVitals]>,
     /// Attempts whose last byte was written.
     pub sends: AtomicU64,
+    /// Answers of unknown length that were passed on as they came, since there was no room to hold them.
+    pub unheld_answers: AtomicU64,
     /// The version of the list of upstreams.
     pub seq: AtomicU64,
     /// How many upstreams are listed.
@@ -91,6 +93,7 @@
             ready: AtomicBool::new(false),
             classes: classes.collect(),
             sends: zero(),
+            unheld_answers: zero(),
             seq: zero(),
             upstreams: zero(),
             skipped: zero(),
