--- a/crates/sidecar/src/transfer/answer_hold.rs
+++ b/crates/sidecar/src/transfer/answer_hold.rs
@@ -14,6 +14,8 @@
 const MAX_HOLD: Duration = Duration::from_millis(1_500);
 /// A hold ends this much before the moment that it must not miss, for the turn in which the answer is passed on.
 const HOLD_MARGIN: Duration = Duration::from_millis(10);
+/// An answer that has brought nothing for so many times its longest gap may have stopped.
+const GAPS_ALLOWED: u32 = 2;
 /// Weight of one answer in the share of long ones.
 const WEIGHT: f64 = 1.0 / 16.0;
 /// From this share on, an answer of unknown length is expected to be long. One long answer among some ten is enough: what it
@@ -42,6 +44,34 @@
     wanted.max(head_at + SHORT_HOLD)
 }
 
+/// At which pace the pieces of one answer come.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    last_at: Instant,
+    longest_gap: Option<Duration>,
+}
+
+impl Pace {
+    /// Of an answer whose head came then.
+    pub fn new(head_at: Instant) -> Pace {
+        Pace { last_at: head_at, longest_gap: None }
+    }
+
+    /// A piece of its body has come.
+    pub fn piece(&mut self, now: Instant) {
+        let gap = now.saturating_duration_since(self.last_at);
+        self.longest_gap = Some(self.longest_gap.map_or(gap, |longest| longest.max(gap)));
+        self.last_at = now;
+    }
+
+    /// Whether more is to be expected, going by the gaps so far. One that came at once with its head and no further may have
+    /// stopped.
+    pub fn is_coming(&self, now: Instant) -> bool {
+        let silent_for = now.saturating_duration_since(self.last_at);
+        self.longest_gap.is_some_and(|longest| silent_for <= longest * GAPS_ALLOWED)
+    }
+}
+
 /// What the answers of unknown length turned out to be, shared by all attempts of an instance. Those that were whole within
 /// [`SHORT_HOLD`] do not count.
 #[derive(Debug, Default)]
--- a/crates/sidecar/src/transfer/answer_hold/tests.rs
+++ b/crates/sidecar/src/transfer/answer_hold/tests.rs
@@ -48,3 +48,17 @@
     }
     assert!(lengths.long_expected());
 }
+
+#[test]
+fn an_answer_comes_on_while_its_silence_is_like_its_gaps() {
+    let head_at = Instant::now();
+    let mut pace = Pace::new(head_at);
+    assert!(!pace.is_coming(head_at + ms(1)), "nothing has come yet");
+    pace.piece(head_at);
+    assert!(!pace.is_coming(head_at + ms(50)), "all of it came with its head");
+    pace.piece(head_at + ms(40));
+    assert!(pace.is_coming(head_at + ms(120)));
+    assert!(!pace.is_coming(head_at + ms(121)));
+    pace.piece(head_at + ms(300));
+    assert!(pace.is_coming(head_at + ms(700)));
+}
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -24,7 +24,7 @@
 use crate::presence::Terms;
 use crate::request_bound::{RequestState, bound};
 use crate::transfer::answer::{self, Payload, Stream};
-use crate::transfer::answer_hold::{AnswerLengths, HoldTimes, SHORT_HOLD, hold_until};
+use crate::transfer::answer_hold::{AnswerLengths, HoldTimes, Pace, SHORT_HOLD, hold_until};
 use crate::transfer::gathered::Gathered;
 use crate::transfer::limits::{self, Plan, WHOLE_BYTES};
 use crate::transfer::outgoing::{Kept, Outgoing};
@@ -65,7 +65,6 @@
 struct Holder<'a> {
     flight: &'a Flight,
     common: &'a Common,
-    meter: &'a Meter,
 }
 
 /// The hold of one answer of unknown length.
@@ -73,6 +72,7 @@
     holder: &'a Holder<'a>,
     head_at: Instant,
     until: Instant,
+    pace: Pace,
     /// The room that it takes once it has lasted for longer than [`SHORT_HOLD`]; it goes on in the same.
     room: Option<Taken>,
 }
@@ -80,18 +80,21 @@
 impl<'a> Hold<'a> {
     fn new(holder: &'a Holder<'a>) -> Hold<'a> {
         let head_at = Instant::now();
-        Hold { holder, head_at, until: head_at + SHORT_HOLD, room: None }
+        Hold { holder, head_at, until: head_at + SHORT_HOLD, pace: Pace::new(head_at), room: None }
     }
 
-    /// Comes back when the answer is not to be held any longer. One that has stopped is held on: nobody gains by its head, and
-    /// another attempt can still replace it.
+    /// Comes back when the answer is not to be held any longer. One that has stopped is held until its next piece: nobody gains
+    /// by its head, and another attempt can still replace it.
     async fn is_over(&mut self) {
         loop {
             sleep_until(self.until).await;
-            if !self.lengthen() {
-                self.comes_on().await;
+            if self.lengthen() {
+                continue;
+            }
+            if self.pace.is_coming(Instant::now()) {
                 return;
             }
+            std::future::pending::<()>().await;
         }
     }
 
@@ -100,7 +103,7 @@
         if self.room.is_some() {
             return false;
         }
-        let Holder { flight, common, .. } = self.holder;
+        let Holder { flight, common } = self.holder;
         self.room = common.transfers.take();
         if self.room.is_none() {
             common.vitals.unheld_answers.fetch_add(1, Ordering::Relaxed);
@@ -110,14 +113,6 @@
         self.until = hold_until(times, common.lengths.long_expected());
         true
     }
-
-    /// Waits until bytes have come of late.
-    async fn comes_on(&self) {
-        let Holder { common, meter, .. } = self.holder;
-        while meter.read_at() + common.patience.learnt() < Instant::now() {
-            sleep_until(Instant::now() + SHORT_HOLD).await;
-        }
-    }
 }
 
 /// Sends a request once and reads its answer: whole, or until it may go on as it comes. What nobody waits for is not held.
@@ -166,6 +161,9 @@
                 if let Ok(data) = frame.into_data() {
                     gathered.add(data, length);
                 }
+                if let Some(hold) = &mut hold {
+                    hold.pace.piece(Instant::now());
+                }
             }
             Some(Err(_)) => return Err(Broken::Cut),
         }
@@ -338,7 +336,7 @@
         },
     };
     let (how, answer) = {
-        let holder = Holder { flight: &flight, common: &common, meter: &meter };
+        let holder = Holder { flight: &flight, common: &common };
         let exchange = async {
             let mut got = exchange(&mut connection.sender, request, &meter, Some(&holder)).await?;
             // Until there is room for what goes on as it comes, it waits with its upstream.
