--- a/crates/sidecar/src/upstream/tests.rs
+++ b/crates/sidecar/src/upstream/tests.rs
@@ -14,6 +14,8 @@
 use crate::budget::Budgets;
 use crate::presence::Presence;
 
+/// A body that a peer's kernel and ours never hold together: what is cut before its end was written in part.
+const MORE_THAN_THE_KERNEL_TAKES: usize = 6 << 20;
 /// As long as nothing takes unless it never comes.
 const FOREVER: Duration = Duration::from_secs(30);
 
@@ -131,7 +133,7 @@
     let mut rng = oorandom::Rand64::new(40);
     let (mut whole, mut cut) = (0, 0);
     for _ in 0..300 {
-        let length = [0, 1, 90, 4_000, 60_000][rng.rand_range(0..5) as usize];
+        let length = [0, 1, 90, 4_000, 60_000, MORE_THAN_THE_KERNEL_TAKES][rng.rand_range(0..6) as usize];
         let mut request = Request::post(format!("/bill?k={}", "x".repeat(rng.rand_range(0..3_000) as usize)));
         for number in 0..rng.rand_range(0..40) {
             let value = HeaderValue::from_bytes(&vec![0xe4; rng.rand_range(0..200) as usize]).unwrap();
@@ -141,7 +143,7 @@
         request.headers_mut().insert(header::CONTENT_LENGTH, HeaderValue::from(length));
         // So many bytes are read, one by one or all at once, and then the connection is reset.
         let most = match rng.rand_range(0..3) {
-            0 => usize::MAX,
+            0 if length < MORE_THAN_THE_KERNEL_TAKES => usize::MAX,
             1 => rng.rand_range(0..600) as usize,
             _ => rng.rand_range(0..70_000) as usize,
         };
