An answer that waits for room is not taken for one that has stopped; unheld answers are told

A test of the full budget showed it: while a long answer waited for room to pass through, nobody read it, and after the learnt pause (150 ms) it was cut off as an answer that does not end (upstream.rs, stalled).

--- a/crates/sidecar/src/console.rs
+++ b/crates/sidecar/src/console.rs
@@ -205,6 +205,7 @@
     in_progress: u64,
     known_upstreams: u64,
     skipped_upstreams: u64,
+    unheld_answers: u64,
 }
 
 /// By class, in the order of the settings.
@@ -236,6 +237,7 @@
         upstream_tries: vitals.sends.load(Ordering::Acquire),
         known_upstreams: vitals.upstreams.load(Ordering::Relaxed),
         skipped_upstreams: vitals.skipped.load(Ordering::Relaxed),
+        unheld_answers: vitals.unheld_answers.load(Ordering::Relaxed),
     };
     match serde_json::to_vec(&figures) {
         Ok(text) => {
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -193,13 +193,17 @@
     }
 }
 
-/// Comes back when an answer that has begun comes no further for longer than is worth waiting.
-async fn stalled(meter: &Meter, patience: &Patience) {
+/// Comes back when an answer that has begun comes no further for longer than is worth waiting. While it waits for room nobody
+/// reads it, and that is no fault of the upstream's.
+async fn stalled(meter: &Meter, patience: &Patience, waits_for_room: &AtomicBool) {
     loop {
         meter.answer_began().await;
         let limit = patience.limit();
         while meter.is_answering() {
             let until = meter.read_at() + limit;
+            if waits_for_room.load(Ordering::Relaxed) {
+                return std::future::pending().await;
+            }
             if until <= Instant::now() {
                 return;
             }
@@ -336,11 +340,13 @@
         },
     };
     let (how, answer) = {
+        let waits_for_room = AtomicBool::new(false);
         let holder = Holder { flight: &flight, common: &common };
         let exchange = async {
             let mut got = exchange(&mut connection.sender, request, &meter, Some(&holder)).await?;
             // Until there is room for what goes on as it comes, it waits with its upstream.
             if let Got::Begun { room: room @ None, .. } = &mut got {
+                waits_for_room.store(true, Ordering::Relaxed);
                 *room = common.transfers.wait().await;
             }
             Ok(got)
@@ -400,7 +406,7 @@
                     (How::Spoilt, None)
                 }
             },
-            () = stalled(&meter, &common.patience) => {
+            () = stalled(&meter, &common.patience, &waits_for_room) => {
                 common.log.line(format!("upstream {}: an answer that does not end", flight.upstream.0));
                 (How::Spoilt, None)
             }
--- a/crates/sidecar/src/upstream/tests.rs
+++ b/crates/sidecar/src/upstream/tests.rs
@@ -255,3 +255,44 @@
         assert_eq!((told_end(&heard), is_whole(&came)), (expected, stays.is_some()));
     }
 }
+
+/// Guards the memory that held answers take: one for which there is no room goes on as it comes, as soon as there is room for
+/// that, and is counted. With room it is held until it is whole.
+#[tokio::test]
+async fn an_answer_that_there_is_no_room_to_hold_goes_on_as_it_comes_and_is_counted() {
+    for is_full in [true, false] {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (connection, flight) = at_hand(listener.local_addr().unwrap()).await;
+        let peer = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            std::io::Write::write_all(&mut stream, b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n").unwrap();
+            for _ in 0..30 {
+                std::thread::sleep(Duration::from_millis(20));
+                let _ = std::io::Write::write_all(&mut stream, b"piece");
+            }
+            let _ = stream.shutdown(Shutdown::Both);
+        });
+        let common = common();
+        let taken = is_full.then(|| common.transfers.take().expect("one place"));
+        let (heard, outlet) = listening();
+        let (_give_up, given_up) = oneshot::channel();
+        let (request, body) = post(1);
+        let writing = Writing { request, body, terms: None };
+        let attempt = tokio::spawn(attempt(connection, writing, flight, given_up, common.clone(), outlet));
+        // Nobody reads on meanwhile, for longer than answers pause.
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        drop(taken);
+        attempt.await.unwrap();
+        let messages = std::mem::take(&mut *heard.lock().unwrap());
+        let streamed = messages.iter().any(|message| match message {
+            FromUpstreams::Ended { end: End::Outcome(Outcome::Ok, Some(answer)), .. } => {
+                answer.body.is_stream()
+            }
+            _ => false,
+        });
+        assert_eq!(streamed, is_full, "{} messages", messages.len());
+        assert_eq!(common.vitals.unheld_answers.load(Ordering::Relaxed), u64::from(is_full));
+        drop(messages);
+        let _ = tokio::task::spawn_blocking(move || peer.join()).await.unwrap();
+    }
+}
