Discovery is asked again within the staleness bound, however calls failed

Change: staleness.rs holds one budget. The wait after a failed call is at most what two calls leave of the bound (1.5 s, all of it jitter), and calls that fail at once begin at most 1.85 s apart, so that one more may fail.

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -19,6 +19,7 @@
 use crate::overdue::MUTE;
 use crate::probes::Purse;
 use crate::reports::{self, learn_kappa, learn_kind, settled_after, sound_in_flight};
+use crate::staleness::CallSchedule;
 use crate::state::*;
 use crate::subset::{Order, Size};
 use crate::throttle::LATE_TARGET;
@@ -73,8 +74,6 @@
 const COLD_MARGIN: f64 = 0.5;
 /// From so many kinds of machine on, those that no server is of are forgotten.
 const KINDS: usize = 64;
-/// Discovery is asked within this share of the time in which it must be; doubles with each failure.
-const ASK_OVER: f64 = 0.25;
 
 /// So many servers are looked at for a request at most. Up to that many the draw is exact: every pair with
 /// room is as likely as any other. Among more, one is missed where a share `f` has room by (1 - f)^LOOKS.
@@ -94,6 +93,7 @@
     pub(crate) next_send: u64,
     pub(crate) uploads: Uploads,
     pub(crate) watch: Watch,
+    discovery_calls: CallSchedule,
     purse: Purse,
     /// Zones that cannot be reached.
     pub(crate) outages: Outages,
@@ -125,6 +125,7 @@
             next_send: 1,
             uploads: Uploads::default(),
             watch: Watch::default(),
+            discovery_calls: CallSchedule::default(),
             purse,
             outages: Outages::default(),
             order,
@@ -167,7 +168,7 @@
                 self.settings.sidecars = count;
                 self.cross.iter_mut().for_each(|plan| plan.sidecars(self.now, count));
             }
-            Event::Woke(0) if std::mem::take(&mut self.seen.ask_pending) => out.push(Action::Subscribe),
+            Event::Woke(0) if self.discovery_calls.begin_call(self.now) => out.push(Action::Subscribe),
             Event::Woke(watch::TOKEN) => {
                 self.watch.woke();
                 while let Some(request) = self.watch.next(self.now) {
@@ -875,8 +876,7 @@
     // --- The server list ---------------------------------------------------------------------
 
     fn listed(&mut self, news: ListNews, out: &mut Vec<Action>) {
-        let failed = news == ListNews::Unavailable;
-        let must_ask = failed || matches!(news, ListNews::Restored(_));
+        let must_ask = matches!(news, ListNews::Unavailable | ListNews::Restored(_));
         match news {
             // Who is missing from a complete list is gone.
             ListNews::Restored(list) | ListNews::Complete(list) => {
@@ -891,12 +891,10 @@
             self.seen.kinds.retain(|kind, _| self.upstreams.has_kind(*kind));
         }
         let Discovery::Subscribed { must_ask_in } = self.settings.discovery else { return };
-        self.seen.ask_wait =
-            if failed { (2.0 * self.seen.ask_wait).min(must_ask_in) } else { ASK_OVER * must_ask_in };
-        if must_ask && !std::mem::replace(&mut self.seen.ask_pending, true) {
-            // Full jitter: many may have restarted or been cut off together, and the list serves few at once.
-            let at = self.now + self.seen.ask_wait * self.rng.rand_float();
-            out.push(Action::WakeAt { at, token: 0 });
+        if must_ask {
+            let luck = self.rng.rand_float();
+            let at = self.discovery_calls.next_call(self.now, must_ask_in, luck);
+            out.extend(at.map(|at| Action::WakeAt { at, token: 0 }));
         }
     }
 }
--- a/crates/decide/src/learnt.rs
+++ b/crates/decide/src/learnt.rs
@@ -141,11 +141,8 @@
     pub probe_time: Option<Millis>,
     /// When the first report came.
     pub first_at: Option<Millis>,
-    /// The span over which the next call to discovery is spread, and whether one is to come.
     /// How much of what comes is sent on.
     pub throttle: Throttle,
-    pub ask_wait: Millis,
-    pub ask_pending: bool,
 }
 
 impl Learnt {
@@ -165,8 +162,6 @@
             probe_time: None,
             first_at: None,
             throttle: Throttle::default(),
-            ask_wait: 0.0,
-            ask_pending: false,
         }
     }
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -17,6 +17,7 @@
 mod reports;
 mod sends;
 pub mod settings;
+pub mod staleness;
 mod state;
 pub mod subset;
 mod throttle;
--- a/crates/sidecar/src/silence.rs
+++ b/crates/sidecar/src/silence.rs
@@ -3,13 +3,16 @@
 
 use std::time::Duration;
 
+use sagemast_decide::staleness::CALL_TIMEOUT;
+
 /// What a watch misses counts as told this long after it fell silent, whether or not it arrived.
 pub const TOLD: Duration = Duration::from_secs(6);
 /// While nothing changes an empty line comes every 2 s. After this long without one, or a whole list, a watch is dead. It
 /// has to be a little longer than 2 s, and short enough that a second watch may fall silent as well.
 const SILENCE: Duration = Duration::from_millis(2_500);
-/// A service that all sidecars ask works through calls in turn and turns away those that waited for 2 s.
-const ASKED_CALL: Duration = Duration::from_millis(2_200);
+/// A service that all sidecars ask works through calls in turn and turns away those that waited for 2 s. The module spreads
+/// its calls by the same figure.
+const ASKED_CALL: Duration = Duration::from_millis(CALL_TIMEOUT as u64);
 /// An agent on the sidecar's own machine answers at once. While discovery is down it says nothing, and what it gets at the
 /// return counts as told at once: a call that hangs must end well within the grace that drains have.
 const PUSHED_CALL: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(500)];
