Discovery that refuses one call after another is asked less often

Change: only the first failure after a list uses the time that a refused call leaves for one more call, at most 1.85 s after its beginning; from then on calls begin 2.2 to 3.7 s apart, which keeps the bound.

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -877,6 +877,9 @@
 
     fn listed(&mut self, news: ListNews, out: &mut Vec<Action>) {
         let must_ask = matches!(news, ListNews::Unavailable | ListNews::Restored(_));
+        if !must_ask {
+            self.discovery_calls.answered();
+        }
         match news {
             // Who is missing from a complete list is gone.
             ListNews::Restored(list) | ListNews::Complete(list) => {
--- a/crates/decide/src/staleness.rs
+++ b/crates/decide/src/staleness.rs
@@ -3,8 +3,8 @@
 //!
 //! A change counts as told once the bound has passed since discovery had it and could be reached. In the worst case it comes
 //! right after a call has begun; that call fails at the last moment, and the next one is answered at the last moment. What two
-//! calls leave of the bound is the longest wait between them. Calls that fail at once leave time for one more: so that
-//! discovery that refuses is not asked without rest, a call is followed by the next one no sooner than that allows.
+//! calls leave of the bound is the longest wait between them. Calls that fail at once leave more: the first time it is used for
+//! one more call, and from then on for asking less often, since discovery that refuses may be overloaded.
 
 use crate::api::Millis;
 
@@ -22,9 +22,11 @@
     (bound - 2.0 * CALL_TIMEOUT - MARGIN).min(MAX_JITTER_SHARE * bound).max(MIN_JITTER_SHARE * bound)
 }
 
-/// How long after the beginning of a call that fails at once the next one may begin, so that one more may fail so.
-fn max_interval(bound: Millis) -> Millis {
-    ((bound - CALL_TIMEOUT - MARGIN) / 2.0).max(MAX_JITTER_SHARE * bound)
+/// How long after the beginning of a call that fails at once the next one begins at the latest.
+fn max_interval(bound: Millis, failures: u32) -> Millis {
+    let left = bound - CALL_TIMEOUT - MARGIN;
+    let interval = if failures <= 1 { left / 2.0 } else { left };
+    interval.max(MAX_JITTER_SHARE * bound)
 }
 
 /// When discovery was asked and is to be asked.
@@ -34,9 +36,16 @@
     began: Option<Millis>,
     /// Whether one is to come.
     is_pending: bool,
+    /// How many calls have failed since the last list.
+    failures: u32,
 }
 
 impl CallSchedule {
+    /// A call was answered, or a watch told something.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+    }
+
     /// When to call next, unless that stands already. With `luck`, from 0 to 1, all of the jitter is drawn: many may have
     /// restarted or been cut off together, and discovery works through calls in turn.
     pub fn next_call(&mut self, now: Millis, bound: Millis, luck: f64) -> Option<Millis> {
@@ -44,15 +53,17 @@
             return None;
         }
         let jitter = max_jitter(bound);
-        let earliest = self.began.map_or(now, |began| now.max(began + max_interval(bound) - jitter));
+        let rest = max_interval(bound, self.failures) - jitter;
+        let earliest = self.began.map_or(now, |began| now.max(began + rest));
         Some(earliest + jitter * luck)
     }
 
-    /// Whether a call is due; it begins now.
+    /// Whether a call is due; it begins now, and has failed until it is answered.
     pub fn begin_call(&mut self, now: Millis) -> bool {
         let is_due = std::mem::take(&mut self.is_pending);
         if is_due {
             self.began = Some(now);
+            self.failures = self.failures.saturating_add(1);
         }
         is_due
     }
