A watch that opens and says nothing is opened anew within its own bound

Need: what a silent watch misses counts as told 6 s after it fell silent. Seen in a new test with paused time, a driver and its watch beside a discovery on loopback (1,152 outages): where a watch was opened anew and fell silent in its turn, the clock of the first silence was kept; once that was used up the call counted as any that fails, and 2.5 s of silence, 1.5 s of jitter and a call came to 6.1 s. Cause: discovery.rs, listen (get_or_insert) and ask.

Change: each silence has its own clock.

--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -85,12 +85,15 @@
     /// Watches once, for settings under which the module asks; it hears of the end and asks again when it sees fit. A watch
     /// that has fallen silent is another matter: what it misses counts as told soon, so it is opened anew at once.
     pub async fn ask(mut self) {
-        let mut tries = 0;
+        let (mut tries, mut counted_since) = (0, None);
         loop {
             let Err(end) = self.once().await;
             self.log.line(format!("discovery: {end:#}"));
             // Without a silence there is no hurry; with one, the calls after it are counted until one is answered.
             let Some(since) = self.silent else { break };
+            if counted_since.replace(since) != Some(since) {
+                tries = 0;
+            }
             let Some(wait) = silence::again(since.elapsed(), tries, self.place) else { break };
             tries += 1;
             sleep(wait).await;
@@ -132,7 +135,8 @@
         let mut alive = Instant::now();
         loop {
             let Ok(frame) = timeout_at(alive + self.times.silence, body.frame()).await else {
-                self.silent.get_or_insert(alive);
+                // What this one misses counts as told so long after it fell silent, whatever fell silent before.
+                self.silent = Some(alive);
                 bail!("the watch fell silent");
             };
             let frame = frame.context("the watch ended")??;
