The end of an answer that the send buffer has no room for is not lost to a newcomer

Cause: a connection counted as quiet as soon as its answer was through as far as the upstream went (Slot::free). The last bytes, up to 64 KiB of a long answer or whole answers of pipelined requests, may still wait in the process for room in the send buffer. Where descriptors are short such a connection was dropped 100 ms later for a newcomer (Reason::MakeRoom, Holds::Nothing) and its answer torn.

Change: while a write to the client is blocked the connection holds a request. It is quiet from the moment on at which the kernel has taken everything; STILL ends one whose client takes nothing, as before.

--- /dev/null
+++ b/crates/cli/tests/answers_reach_clients.rs
@@ -0,0 +1,335 @@
+//! An answer that was written for a client reaches it whole, whatever happens to its connection meanwhile: requests pipelined
+//! behind it, a body that still comes, an eviction, the end of the process, a client that reads slowly.
+
+mod loopback;
+
+use std::io::{BufRead, Read, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use loopback::*;
+
+/// The longest answer that the sidecar holds whole before any of it goes on.
+const HELD_ANSWER_BYTES: usize = 64 << 10;
+/// What a slow client's kernel holds for it: far less than an answer.
+const SMALL_RECEIVE_BUFFER_BYTES: usize = 4 << 10;
+
+/// Bytes that tell where they stand.
+fn pattern(length: usize) -> Vec<u8> {
+    (0..length).map(|at| (at % 251) as u8 ^ (at / 251) as u8).collect()
+}
+
+/// An upstream whose `bill` waits until the test lets go and whose other answers have this body.
+fn held_bills(go: &Arc<AtomicUsize>, body: Vec<u8>) -> Upstream {
+    let go = go.clone();
+    Upstream::new(move |message| match message.line.starts_with("POST /bill") {
+        true => Deed::Wait(go.clone()),
+        false => Deed::Answer(200, "", body.clone()),
+    })
+}
+
+// --- Clients that read slowly -----------------------------------------------------------------------
+
+/// A client that has asked, whose answer waits in the sidecar's machine since it has read nothing of it.
+fn unread_answer(address: SocketAddr, upstream: &Upstream) -> Client {
+    let mut client = Client::with_receive_buffer(address, SMALL_RECEIVE_BUFFER_BYTES);
+    let before = upstream.requests().len();
+    client.send("fetch", 6_000);
+    until("it is answered", || upstream.requests().len() > before);
+    std::thread::sleep(Duration::from_millis(150));
+    client
+}
+
+/// Reads what is left unread, in small pieces.
+fn assert_whole(mut client: Client, body: &[u8], when: &str) {
+    let answer = client.read().unwrap_or_else(|| panic!("{when}: the answer is torn"));
+    assert_eq!(answer.status(), 200, "{when}");
+    assert!(answer.body == body, "{when}: {} bytes of {}", answer.body.len(), body.len());
+}
+
+/// What is in the sidecar's send buffer when it closes the connection, or ends, still arrives.
+#[test]
+fn an_unread_answer_outlasts_the_close_of_its_connection() {
+    let body = pattern(HELD_ANSWER_BYTES);
+    let sent = body.clone();
+    let upstream = Upstream::new(move |_| Deed::Answer(200, "", sent.clone()));
+    let known = ready(&[&upstream]);
+    let discovery = Discovery::new(&known);
+    let mut sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 64, SETTINGS));
+    sidecar.wait_up();
+    // 20 connections: one is evicted for whom comes after them, and quiet ones beyond a third are closed.
+    let evicted: Vec<Client> = (0..24).map(|_| unread_answer(sidecar.address, &upstream)).collect();
+    let idle = unread_answer(sidecar.address, &upstream);
+    std::thread::sleep(Duration::from_millis(2_700));
+    evicted.into_iter().for_each(|client| assert_whole(client, &body, "evicted"));
+    assert_whole(idle, &body, "idle");
+    let ended = unread_answer(sidecar.address, &upstream);
+    let mut late = Client::with_receive_buffer(sidecar.address, SMALL_RECEIVE_BUFFER_BYTES);
+    sidecar.signal("-TERM");
+    sidecar.wait_log("SIGTERM");
+    late.send("fetch", 6_000);
+    assert!(sidecar.wait_exit().success());
+    assert_whole(ended, &body, "before SIGTERM, read after the exit");
+    assert_whole(late, &body, "after SIGTERM, read after the exit");
+}
+
+/// Answers with this body after so long.
+fn answer_after(delay: Duration, body: &[u8]) -> Deed {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    let answer = [head.as_bytes(), body].concat();
+    Deed::play(move |stream| {
+        std::thread::sleep(delay);
+        stream.write_all(&answer).is_ok()
+    })
+}
+
+/// Answers that come around the moment in which the time of the process is up, for clients that read only once it has ended:
+/// each gets one whole answer, the upstream's or that it failed.
+#[test]
+fn answers_of_the_last_moments_arrive_whole() {
+    const CLIENTS: u64 = 30;
+    /// The longest deadline. The process has 640 ms more.
+    const DEADLINE_MS: u64 = 500;
+    let body = pattern(HELD_ANSWER_BYTES);
+    let upstreams: Vec<Upstream> = (0..15)
+        .map(|_| {
+            let sent = body.clone();
+            Upstream::new(move |message| match message.line.starts_with("POST /bill") {
+                true => answer_after(Duration::from_millis(250), &sent),
+                false => Deed::ok("served"),
+            })
+        })
+        .collect();
+    let settings = SETTINGS.replace(r#""aim":3000.0"#, r#""aim":400.0"#).replace("8000.0", "500.0");
+    let (mut sidecar, _discovery) = Sidecar::with_settings(&upstreams.iter().collect::<Vec<_>>(), &settings);
+    let address = sidecar.address;
+    sidecar.signal("-TERM");
+    sidecar.wait_log("SIGTERM");
+    let begun = Instant::now();
+    // Connections that have carried nothing are kept for half a second: the last requests come on them.
+    std::thread::sleep(Duration::from_millis(400));
+    let clients: Vec<Client> =
+        (0..CLIENTS).map(|_| Client::with_receive_buffer(address, SMALL_RECEIVE_BUFFER_BYTES)).collect();
+    let clients: Vec<Client> = clients
+        .into_iter()
+        .zip(0..)
+        .map(|(mut client, number)| {
+            let at = begun + Duration::from_millis(540 + 11 * number);
+            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            client.send("bill", DEADLINE_MS);
+            client
+        })
+        .collect();
+    assert!(sidecar.wait_exit().success());
+    let mut statuses = std::collections::BTreeMap::new();
+    for (mut client, number) in clients.into_iter().zip(0..CLIENTS) {
+        let answer = client.read().unwrap_or_else(|| panic!("client {number}: no whole answer"));
+        assert!(answer.status() != 200 || answer.body == body, "client {number}");
+        *statuses.entry(answer.status()).or_insert(0) += 1;
+    }
+    println!("answers by status: {statuses:?}");
+    assert!(statuses.get(&200).is_some_and(|served| *served > 5), "{statuses:?}");
+}
+
+/// Connects again and again while the test runs, asks once each time and keeps the connection: places are short all the time.
+fn crowd(address: SocketAddr, stop: &AtomicBool) -> usize {
+    let mut kept = std::collections::VecDeque::new();
+    let mut asked = 0;
+    while !stop.load(Ordering::SeqCst) {
+        let mut client = Client::to(address);
+        client.send("fetch", 6_000);
+        let _ = client.read();
+        asked += 1;
+        kept.push_back(client);
+        if kept.len() > 60 {
+            kept.pop_front();
+        }
+        std::thread::sleep(Duration::from_millis(4));
+    }
+    asked
+}
+
+/// Reads an answer in small pieces, at about 400 KB a second.
+struct SlowReader(std::net::TcpStream);
+
+impl Read for SlowReader {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(20));
+        let room = buffer.len().min(8 << 10);
+        self.0.read(&mut buffer[..room])
+    }
+}
+
+/// Asks for a long answer, once more whenever that is refused, and reads it slowly; how it ended.
+fn long_answer_read_slowly(address: SocketAddr, body: &[u8]) -> String {
+    let start = Instant::now();
+    loop {
+        let mut stream = connect_with_receive_buffer(address, 16 << 10);
+        stream.write_all(request("bill", 6_000).as_bytes()).unwrap();
+        let mut reader = std::io::BufReader::with_capacity(8 << 10, SlowReader(stream));
+        match read_message(&mut reader) {
+            Some(answer) if answer.status() == 503 => assert!(start.elapsed() < FOREVER, "refused for good"),
+            Some(answer) if answer.body == body => return "whole".to_owned(),
+            Some(answer) => return answer.line,
+            None => return "torn".to_owned(),
+        }
+    }
+}
+
+/// Guards against eviction of a connection whose answer is through as far as its upstream goes, while its end still waits in
+/// the process for room in the send buffer.
+#[test]
+fn the_end_of_a_long_answer_is_not_lost_to_a_newcomer() {
+    let body = pattern(1_200_000);
+    let sent = body.clone();
+    let upstream = Upstream::new(move |message| match message.line.starts_with("POST /bill") {
+        true => Deed::Answer(200, "", sent.clone()),
+        false => Deed::ok("served"),
+    });
+    let known = ready(&[&upstream]);
+    let discovery = Discovery::new(&known);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 64, SETTINGS));
+    sidecar.wait_up();
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let asked = scope.spawn(|| crowd(sidecar.address, &stop));
+        let readers: Vec<_> = (0..3)
+            .map(|_| {
+                let (address, body) = (sidecar.address, &body);
+                scope.spawn(move || long_answer_read_slowly(address, body))
+            })
+            .collect();
+        let ends: Vec<String> = readers.into_iter().map(|reader| reader.join().unwrap()).collect();
+        stop.store(true, Ordering::SeqCst);
+        assert_eq!(ends, ["whole"; 3], "beside {} newcomers", asked.join().unwrap());
+    });
+}
+
+/// The same for answers that are held whole, of which more are pipelined than the send buffer takes.
+#[test]
+fn pipelined_answers_that_wait_for_a_slow_client_are_not_lost_to_a_newcomer() {
+    const REQUESTS: usize = 14;
+    let body = pattern(HELD_ANSWER_BYTES);
+    let sent = body.clone();
+    let upstream = Upstream::new(move |message| match message.line.starts_with("POST /log") {
+        true => Deed::Answer(200, "", sent.clone()),
+        false => Deed::ok("served"),
+    });
+    let known = ready(&[&upstream]);
+    let discovery = Discovery::new(&known);
+    let sidecar = Sidecar::start(&config("127.0.0.1:0", discovery.address, &known, 64, SETTINGS));
+    sidecar.wait_up();
+    let mut client = Client::with_receive_buffer(sidecar.address, SMALL_RECEIVE_BUFFER_BYTES);
+    (0..REQUESTS).for_each(|_| client.send("log", 6_000));
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let asked = scope.spawn(|| crowd(sidecar.address, &stop));
+        std::thread::sleep(Duration::from_millis(1_500));
+        let whole = (0..REQUESTS)
+            .map_while(|_| client.read())
+            .filter(|answer| answer.status() == 200 && answer.body == body)
+            .count();
+        stop.store(true, Ordering::SeqCst);
+        assert_eq!(whole, REQUESTS, "beside {} newcomers", asked.join().unwrap());
+    });
+}
+
+// --- What comes behind a request -----------------------------------------------------------------
+
+/// A long body is refused for want of room, with its head read and the rest still coming: the refusal arrives.
+#[test]
+fn a_refusal_reaches_a_client_that_still_sends_its_body() {
+    let upstream = Upstream::new(|_| Deed::Answer(200, "", vec![b'x'; 8 << 20]));
+    let known = ready(&[&upstream]);
+    let discovery = Discovery::new(&known);
+    // Room for four long bodies.
+    let text = config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS)
+        .replace(r#""memory_mb":192"#, r#""memory_mb":8"#);
+    let sidecar = Sidecar::start(&text);
+    sidecar.wait_up();
+    let unread: Vec<Client> = (0..4)
+        .map(|_| {
+            let mut client = Client::to(sidecar.address);
+            client.send("fetch", 6_000);
+            assert!(!client.reader.fill_buf().unwrap().is_empty(), "it has begun");
+            client
+        })
+        .collect();
+    let asked = upstream.requests().len();
+    for length in [70_000, 200_000, 1_000_000, 4_000_000] {
+        let mut client = Client::to(sidecar.address);
+        let head =
+            request("bill", 6_000).replace("Content-Length: 4", &format!("Content-Length: {}", length + 4));
+        client.write(head.as_bytes());
+        client.write(&vec![b'x'; length]);
+        let answer = client.read().unwrap_or_else(|| panic!("{length} bytes: no answer"));
+        assert_eq!(answer.status(), 503, "{length} bytes");
+    }
+    assert_eq!(upstream.requests().len(), asked, "none of them was sent on");
+    drop(unread);
+}
+
+/// Bytes that are no request behind an open one: its answer arrives whole all the same, also at a client that reads slowly.
+#[test]
+fn noise_behind_a_request_does_not_tear_its_answer() {
+    let body = pattern(HELD_ANSWER_BYTES);
+    let sent = body.clone();
+    let upstream = Upstream::new(move |_| Deed::Answer(200, "", sent.clone()));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    for noise in [1, 1_000, 60_000, 200_000] {
+        let mut client = Client::with_receive_buffer(sidecar.address, SMALL_RECEIVE_BUFFER_BYTES);
+        client.send("fetch", 6_000);
+        client.write(&vec![b'\x01'; noise]);
+        std::thread::sleep(Duration::from_millis(500));
+        assert_whole(client, &body, &format!("{noise} bytes of noise"));
+    }
+}
+
+// --- Small writes --------------------------------------------------------------------------------
+
+/// Guards against small pieces of an answer that the kernel holds back until what went before is acknowledged, which a
+/// receiver may put off by 40 ms.
+#[test]
+fn small_pieces_of_an_answer_are_not_held_back() {
+    const PIECES: usize = 120;
+    const HELD_BACK: Duration = Duration::from_millis(20);
+    let epoch = Instant::now();
+    let upstream = Upstream::new(move |_| {
+        Deed::play(move |stream| {
+            stream.set_nodelay(true).unwrap();
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for _ in 0..PIECES {
+                // Two small ones in a row: the second is the one that would wait.
+                for _ in 0..2 {
+                    let at = format!("{:016}", epoch.elapsed().as_micros());
+                    if chunk(stream, at.as_bytes()).is_err() {
+                        return false;
+                    }
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+                std::thread::sleep(Duration::from_millis(3));
+            }
+            stream.write_all(b"0\r\n\r\n").is_ok()
+        })
+    });
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    client.send("fetch", 6_000);
+    let mut delays = Vec::new();
+    let mut room = [0; 4_096];
+    while delays.len() < PIECES {
+        let read = client.reader.get_mut().read(&mut room).unwrap();
+        assert!(read > 0, "it goes on");
+        let text = String::from_utf8_lossy(&room[..read]);
+        let stamps = text.split("\r\n").filter(|line| line.len() == 16);
+        let oldest = stamps.filter_map(|stamp| stamp.parse::<u64>().ok()).min();
+        delays.extend(oldest.map(|at| epoch.elapsed().saturating_sub(Duration::from_micros(at))));
+    }
+    // The first ones come together: an answer of unknown length is held for a moment.
+    let mut late = delays.split_off(PIECES / 2);
+    late.sort_unstable();
+    let median = late[late.len() / 2];
+    assert!(median < HELD_BACK, "half of the pieces took {median:?} or longer");
+}
--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -717,3 +717,26 @@
     sidecar.wait_up();
     (sidecar, discovery, console, slow)
 }
+
+// --- Clients that read slowly -------------------------------------------------------------------
+
+/// A connection whose kernel holds about so many bytes that nobody has read yet: the rest waits at the sender.
+pub fn connect_with_receive_buffer(address: SocketAddr, bytes: usize) -> TcpStream {
+    use rustix::net::{AddressFamily, SocketType, connect, socket, sockopt};
+    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    // Only before the handshake does it bound the window that is offered.
+    sockopt::set_socket_recv_buffer_size(&socket, bytes).unwrap();
+    connect(&socket, &address).unwrap();
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(FOREVER)).unwrap();
+    stream
+}
+
+impl Client {
+    /// A client whose kernel holds about so many bytes that it has not read yet.
+    pub fn with_receive_buffer(address: SocketAddr, bytes: usize) -> Client {
+        let stream = connect_with_receive_buffer(address, bytes);
+        // Reads no further ahead than that, either.
+        Client { reader: BufReader::with_capacity(bytes, stream), asked: VecDeque::new() }
+    }
+}
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -160,6 +160,7 @@
 impl AsyncRead for Client {
     fn poll_read(
         mut self: Pin<&mut Self>,
+        self.slot.set_write_blocked(result.is_pending());
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
--- a/crates/sidecar/src/closing.rs
+++ b/crates/sidecar/src/closing.rs
@@ -35,7 +35,7 @@
     Head,
     /// A request whose body is still to come: not taken yet.
     Body,
-    /// A request that was taken and has no answer, or one that still passes.
+    /// A request that was taken and has no answer, or one whose answer is not yet written to its last byte.
     Request,
 }
 
--- a/crates/sidecar/src/slot.rs
+++ b/crates/sidecar/src/slot.rs
@@ -35,6 +35,8 @@
     reads: AtomicU64,
     /// Requests that have been answered.
     answered: AtomicU64,
+    /// Whether bytes of an answer wait in this process, since the send buffer is full.
+    write_blocked: AtomicBool,
     /// Whose connection it is.
     client: OnceLock<Presence>,
     /// Who waits for the next one to be.
@@ -60,6 +62,7 @@
             look: AtomicBool::new(false),
             reads: AtomicU64::new(0),
             answered: AtomicU64::new(0),
+            write_blocked: AtomicBool::new(false),
             client: OnceLock::new(),
             waiting: Mutex::default(),
             making_room: AtomicBool::new(false),
@@ -133,6 +136,19 @@
         self.quiet_since.load(Ordering::Relaxed) == BUSY
     }
 
+    /// The send buffer has no room for what is to be written, or has taken it. A connection is quiet only from then on: the
+    /// end of an answer would be lost if it were closed before.
+    pub fn set_write_blocked(&self, blocked: bool) {
+        if self.write_blocked.swap(blocked, Ordering::Relaxed) && !blocked && !self.is_busy() {
+            self.quiet_since.store(self.now(), Ordering::Relaxed);
+        }
+    }
+
+    /// Whether bytes of an answer wait for room in the send buffer.
+    fn is_write_blocked(&self) -> bool {
+        self.write_blocked.load(Ordering::Relaxed)
+    }
+
     /// Bytes have come; whether the client is in the middle of a head now, and the number of the first request that was
     /// framed in two ways.
     pub fn came(&self, in_head: bool, doubled: Option<u64>) {
@@ -168,7 +184,11 @@
 
     /// What it holds.
     pub fn holds(&self) -> Holds {
-        match (self.is_busy(), self.in_body.load(Ordering::Relaxed), self.head_since()) {
+        match (
+            self.is_busy() || self.is_write_blocked(),
+            self.in_body.load(Ordering::Relaxed),
+            self.head_since(),
+        ) {
             (true, ..) => Holds::Request,
             (false, true, _) => Holds::Body,
             (false, false, Some(_)) => Holds::Head,
@@ -181,10 +201,10 @@
         self.doubled.load(Ordering::Relaxed) == number
     }
 
-    /// Since when it has been quiet; `None` while a request is open.
+    /// Since when it has been quiet; `None` while a request is open or its answer is not written.
     pub fn quiet_since(&self) -> Option<Instant> {
         let since = self.quiet_since.load(Ordering::Relaxed);
-        (since != BUSY).then(|| self.at(since))
+        (since != BUSY && !self.is_write_blocked()).then(|| self.at(since))
     }
 
     /// When the head that is under way began, if one is.
