Pipelined requests are all answered when their process ends or is evacuated

Cause: from SIGTERM, an evacuation or a hand-over on every answer said `Connection: close`, and a connection with an open request was told to end after it (Deed::AfterAnswer, hyper's graceful shutdown). Requests that had come whole behind the open one were read ahead (Client::ahead) and thrown away: taken, and never answered.

Change: the client's stream knows whether the next request has come whole. An answer closes its connection only if none has; a connection that holds several is kept and looked at again (Holds::Requests in the table of closing.rs).

Tests: five pipelined requests, the first held by its upstream at SIGTERM and at an evacuation: only the first was answered before, all five since. Endless pipelining ends with the evacuation. Table tests in lifecycle.rs and closing.rs.

--- a/crates/cli/tests/answers_reach_clients.rs
+++ b/crates/cli/tests/answers_reach_clients.rs
@@ -30,6 +30,80 @@
     })
 }
 
+// --- Pipelined requests ---------------------------------------------------------------------------
+
+/// Sends a `bill` that waits and four requests pipelined behind it, and waits until the first is out.
+fn pipeline_of_five(address: SocketAddr, upstream: &Upstream) -> Client {
+    let mut client = Client::to(address);
+    client.send("bill", 6_000);
+    until("the first is out", || upstream.requests().iter().any(|m| m.line.starts_with("POST /bill")));
+    for class in ["fetch", "log", "fetch", "log"] {
+        client.send(class, 6_000);
+    }
+    // They are in the sidecar's machine; it hears of them in its own time.
+    std::thread::sleep(Duration::from_millis(50));
+    client
+}
+
+/// Five answers, and `Connection: close` on the last one at the earliest.
+fn assert_five_answers(client: &mut Client, when: &str) {
+    for number in 0..5 {
+        let answer = client.read().unwrap_or_else(|| panic!("{when}: no answer to request {number} of 5"));
+        assert_eq!(answer.status(), 200, "{when}: request {number}");
+        let closes = answer.header("connection") == Some("close");
+        assert!(number == 4 || !closes, "{when}: request {number} of 5 closes the connection");
+    }
+}
+
+/// Guards against an answer that says `Connection: close` while requests wait behind it that were taken.
+#[test]
+fn pipelined_requests_are_all_answered_when_the_process_ends() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let upstream = held_bills(&go, b"served".to_vec());
+    let (mut sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = pipeline_of_five(sidecar.address, &upstream);
+    sidecar.signal("-TERM");
+    sidecar.wait_log("SIGTERM");
+    std::thread::sleep(Duration::from_millis(100));
+    go.store(1, Ordering::SeqCst);
+    assert_five_answers(&mut client, "SIGTERM");
+    assert_eq!(client.read_to_close().expect("it is closed"), b"");
+    assert!(sidecar.wait_exit().success());
+}
+
+/// The same where operators empty the sidecar.
+#[test]
+fn pipelined_requests_are_all_answered_when_the_sidecar_is_evacuated() {
+    let go = Arc::new(AtomicUsize::new(0));
+    let upstream = held_bills(&go, b"served".to_vec());
+    let (sidecar, _discovery, console) = operated(&[&upstream]);
+    let mut client = pipeline_of_five(sidecar.address, &upstream);
+    assert_eq!(call(console, "PUT", "/api/evacuate").0, 200);
+    std::thread::sleep(Duration::from_millis(1_400));
+    go.store(1, Ordering::SeqCst);
+    assert_five_answers(&mut client, "evacuation");
+    assert_eq!(client.read_to_close().expect("it is closed"), b"");
+}
+
+/// Who goes on sending for as long as it is answered holds neither an evacuation nor an end up.
+#[test]
+fn endless_pipelining_ends_with_the_evacuation() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (sidecar, _discovery, console) = operated(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    for _ in 0..20 {
+        client.send("fetch", 6_000);
+    }
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    assert_eq!(call(console, "PUT", "/api/evacuate").0, 200);
+    let start = Instant::now();
+    while client.read().is_some() {
+        assert!(start.elapsed() < Duration::from_secs(4), "it still is answered 4 s after the call");
+        client.send("fetch", 6_000);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 // --- Clients that read slowly -----------------------------------------------------------------------
 
 /// A client that has asked, whose answer waits in the sidecar's machine since it has read nothing of it.
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -11,7 +11,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep};
 
 use crate::calls;
 use crate::presence::{Presence, Shared};
@@ -45,8 +45,12 @@
     framing: Framing,
     /// Since when the client has taken nothing of what waits for it.
     stuck: Option<Pin<Box<Sleep>>>,
-    /// What has come behind the request that is open.
+    /// What has come behind the request that is open, and when the last of it did.
     ahead: BytesMut,
+    ahead_at: Instant,
+    /// Reads that up to the end of the next request, which has begun so many bytes before.
+    next: Framing,
+    next_bytes: usize,
     /// Once there is no room for more of that: when the kernel is asked next.
     look: Option<Pin<Box<Sleep>>>,
     /// Once our writing has ended: until when we read on, and how many bytes more.
@@ -65,6 +69,9 @@
             slot,
             framing: Framing::default(),
             ahead: BytesMut::new(),
+            ahead_at: Instant::now(),
+            next: Framing::default(),
+            next_bytes: 0,
             look: None,
             stuck: None,
             closing: None,
@@ -88,7 +95,7 @@
                 // The end of the stream is given as it is: nothing.
                 let fed = if read.is_empty() { 0 } else { came(&mut self.framing, &self.slot, read) };
                 buf.put_slice(&read[..fed]);
-                self.ahead.extend_from_slice(&read[fed..]);
+                self.keep_ahead(&read[fed..]);
                 Ok(true)
             }
             Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
@@ -98,6 +105,26 @@
         }
     }
 
+    /// Keeps what has come behind a request.
+    fn keep_ahead(&mut self, bytes: &[u8]) {
+        if !bytes.is_empty() {
+            self.ahead.extend_from_slice(bytes);
+            self.ahead_at = Instant::now();
+            self.look_ahead();
+        }
+    }
+
+    /// Tells whether another request waits behind the open one: it was taken as well, and its connection must not be closed
+    /// before it is answered. One that is longer than what is kept may be whole in the kernel.
+    fn look_ahead(&mut self) {
+        if self.next.whole() == 0 {
+            self.next_bytes += self.next.feed(&self.ahead[self.next_bytes..]);
+        }
+        let waits = self.next.whole() > 0 || self.ahead.len() >= AHEAD_BYTES;
+        // Before the present one is whole, what is kept is still a part of it.
+        self.slot.set_next_request((waits && self.is_asked()).then_some(self.ahead_at));
+    }
+
     /// While a request is open: reads on, and comes back only when the client has left.
     fn poll_left(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.slot.wake_when_answered(cx.waker());
@@ -110,7 +137,7 @@
             if buffer.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
-            self.ahead.extend_from_slice(buffer.filled());
+            self.keep_ahead(buffer.filled());
         }
         loop {
             let look = self.look.get_or_insert_with(|| Box::pin(sleep(LOOK)));
@@ -133,6 +160,7 @@
     /// Ends with an error when the client has taken nothing for too long.
     fn wrote(&mut self, cx: &mut Context<'_>, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         calls::wrote(&result);
+        self.slot.set_write_blocked(result.is_pending());
         if result.is_ready() {
             self.stuck = None;
             return result;
@@ -160,7 +188,6 @@
 impl AsyncRead for Client {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        self.slot.set_write_blocked(result.is_pending());
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -174,6 +201,8 @@
             let fed = came(&mut this.framing, &this.slot, &this.ahead[..room]);
             buf.put_slice(&this.ahead[..fed]);
             this.ahead.advance(fed);
+            (this.next, this.next_bytes) = (Framing::default(), 0);
+            this.look_ahead();
             return Poll::Ready(Ok(()));
         }
         if this.slot.is_to_look() && this.look_into(buf)? {
@@ -185,7 +214,7 @@
         calls::read(&result, read.len());
         if !read.is_empty() {
             let fed = came(&mut this.framing, &this.slot, read);
-            this.ahead.extend_from_slice(&read[fed..]);
+            this.keep_ahead(&read[fed..]);
             buf.set_filled(before + fed);
         }
         result
--- a/crates/sidecar/src/closing.rs
+++ b/crates/sidecar/src/closing.rs
@@ -1,12 +1,12 @@
 //! What becomes of a client's connection when something wants it closed: one table for every reason. Pure.
 //!
-//! | reason | holds nothing | a head | a body | a request |
-//! | --- | --- | --- | --- | --- |
-//! | idle for too long | shut | keep | after its answer | keep |
-//! | its head takes too long | keep | drop | keep | keep |
-//! | let go, being one of many that are quiet | shut | keep | keep | keep |
-//! | a newcomer needs its place | drop | drop | drop | after its answer |
-//! | the end has begun | shut | keep | after its answer | after its answer |
+//! | reason | holds nothing | a head | a body | a request | and more behind it |
+//! | --- | --- | --- | --- | --- | --- |
+//! | idle for too long | shut | keep | after its answer | keep | keep |
+//! | its head takes too long | keep | drop | keep | keep | keep |
+//! | let go, being one of many that are quiet | shut | keep | keep | keep | keep |
+//! | a newcomer needs its place | drop | drop | drop | after its answer | keep |
+//! | the end has begun | shut | keep | after its answer | after its answer | keep |
 //!
 //! What it holds is asked for after one direct look into its socket: a request whose last byte is there has been taken,
 //! whether or not it has been read.
@@ -37,6 +37,8 @@
     Body,
     /// A request that was taken and has no answer, or one whose answer is not yet written to its last byte.
     Request,
+    /// The same, with others pipelined behind it that were taken as well.
+    Requests,
 }
 
 /// What becomes of it.
@@ -70,13 +72,18 @@
 
     const REASONS: [Reason; 5] =
         [Reason::Idle, Reason::HeadOverdue, Reason::LetGo, Reason::MakeRoom, Reason::Ends];
-    const HOLDS: [Holds; 4] = [Holds::Nothing, Holds::Head, Holds::Body, Holds::Request];
+    const HOLDS: [Holds; 5] = [Holds::Nothing, Holds::Head, Holds::Body, Holds::Request, Holds::Requests];
 
     #[test]
     fn what_was_taken_is_answered_whatever_wants_its_connection() {
         for reason in REASONS {
             let deed = deed(reason, Holds::Request);
             assert!(matches!(deed, Deed::Keep | Deed::AfterAnswer), "{reason:?}: {deed:?}");
+            assert_eq!(
+                super::deed(reason, Holds::Requests),
+                Deed::Keep,
+                "{reason:?}: the others would be lost"
+            );
         }
     }
 
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -27,7 +27,7 @@
 
 use crate::budget::{Quota, Room};
 use crate::client::Client;
-use crate::closing::{self, Deed, Reason};
+use crate::closing::{self, Deed, Holds, Reason};
 use crate::headers::end_to_end;
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::log::Log;
@@ -292,7 +292,9 @@
                 slot.free();
             }
             // What is left of a request that was turned away must not be read as another.
-            if response.status().is_client_error() || front.life.borrow().answers_close() {
+            if response.status().is_client_error()
+                || front.life.borrow().closes_after_answer(slot.next_request_at())
+            {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
@@ -345,7 +347,10 @@
             return;
         }
         let came = slot.reads() != before;
-        let holds = slot.holds();
+        let holds = match (slot.holds(), slot.next_request_at()) {
+            (Holds::Request, Some(next)) if !life.borrow().closes_after_answer(Some(next)) => Holds::Requests,
+            (holds, _) => holds,
+        };
         let deed = match closing::deed(reason, holds) {
             // Who has just spoken is neither idle nor quiet; the place of another is asked for next.
             Deed::Shut | Deed::Drop if came && reason != Reason::Ends => Deed::Keep,
@@ -354,8 +359,9 @@
         let now = Instant::now();
         match deed {
             Deed::Keep => {
-                // Who is in the middle of a head has the time that heads have.
-                let over = slot.head_since().is_none_or(|began| began + HEAD <= now);
+                // Who is in the middle of a head has the time that heads have; who has asked more than once is answered.
+                let over =
+                    holds != Holds::Requests && slot.head_since().is_none_or(|began| began + HEAD <= now);
                 match (reason, over) {
                     (Reason::Ends, true) => return,
                     (Reason::Ends, false) => ends_at = Some(now + HALF_WAY),
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -195,9 +195,14 @@
         !self.evacuated
     }
 
-    /// Whether an answer closes its connection.
-    pub fn answers_close(&self) -> bool {
-        !matches!(self.stage, Stage::Standby | Stage::Serving)
+    /// Whether an answer closes its connection, where the next request on it had come whole by then, if one had. What has
+    /// come is answered first; in an evacuation only what came while a connection with nothing open might still carry it.
+    pub fn closes_after_answer(&self, next_request_at: Option<Instant>) -> bool {
+        match self.stage {
+            Stage::Standby | Stage::Serving => false,
+            Stage::Evacuating => next_request_at.is_none_or(|at| at > self.since + EVACUATION_LINGER),
+            Stage::Leaving | Stage::Closing | Stage::HandedOver => next_request_at.is_none(),
+        }
     }
 
     /// When a connection is closed on which nothing is open; never where there is no time. `used` if it has carried a
@@ -236,9 +241,9 @@
     fn evacuation_is_undone_by_rejoining_and_by_nothing_else() {
         let now = Instant::now();
         let mut life = Lifecycle::new(false, now);
-        assert!(life.wish(Wish::Rejoin, now) && life.up() && !life.answers_close());
+        assert!(life.wish(Wish::Rejoin, now) && life.up() && !life.closes_after_answer(None));
         assert!(life.wish(Wish::Evacuate, now) && life.wish(Wish::Evacuate, now));
-        assert!(!life.up() && life.accepts() && life.answers_close());
+        assert!(!life.up() && life.accepts() && life.closes_after_answer(None));
         assert!(life.wish(Wish::Open, now) && !life.up(), "opening is no rejoining");
         assert!(life.wish(Wish::Rejoin, now));
         assert_eq!((life.stage(), life.up(), life.idle_until(now, true)), (Stage::Serving, true, None));
@@ -274,6 +279,23 @@
         assert!(!life.is_overdue(later) && life.is_overdue(start + Duration::from_secs(3)));
     }
 
+    /// Pipelined requests are answered before their connection is closed, but for those that keep coming after an evacuation.
+    #[test]
+    fn an_answer_closes_its_connection_only_if_no_taken_request_is_behind_it() {
+        let now = Instant::now();
+        let before = Some(now);
+        let late = Some(now + EVACUATION_LINGER + Duration::from_millis(1));
+        let mut life = Lifecycle::new(false, now);
+        assert!([None, before, late].into_iter().all(|next| !life.closes_after_answer(next)), "serving");
+        life.wish(Wish::Evacuate, now);
+        assert_eq!([None, before, late].map(|next| life.closes_after_answer(next)), [true, false, true]);
+        for end in [CLOSE, HAND_OVER] {
+            let mut life = life;
+            life.wish(end, now);
+            assert_eq!([None, before, late].map(|next| life.closes_after_answer(next)), [true, false, false]);
+        }
+    }
+
     /// Where deadlines are short the end comes before a silent connection has had its time: it is closed while an answer
     /// could still be given.
     #[test]
--- a/crates/sidecar/src/slot.rs
+++ b/crates/sidecar/src/slot.rs
@@ -35,6 +35,8 @@
     reads: AtomicU64,
     /// Requests that have been answered.
     answered: AtomicU64,
+    /// When the request that waits behind the open one had come whole; [`NEVER`] if none waits.
+    next_request_at: AtomicU64,
     /// Whether bytes of an answer wait in this process, since the send buffer is full.
     write_blocked: AtomicBool,
     /// Whose connection it is.
@@ -62,6 +64,7 @@
             look: AtomicBool::new(false),
             reads: AtomicU64::new(0),
             answered: AtomicU64::new(0),
+            next_request_at: AtomicU64::new(NEVER),
             write_blocked: AtomicBool::new(false),
             client: OnceLock::new(),
             waiting: Mutex::default(),
@@ -136,6 +139,19 @@
         self.quiet_since.load(Ordering::Relaxed) == BUSY
     }
 
+    /// Says when the request that is pipelined behind the open one had come whole, if there is one.
+    pub fn set_next_request(&self, received: Option<Instant>) {
+        let since_epoch = |at: Instant| at.saturating_duration_since(self.epoch).as_millis();
+        let millis = received.map_or(NEVER, |at| u64::try_from(since_epoch(at)).unwrap_or(NEVER - 1));
+        self.next_request_at.store(millis, Ordering::Relaxed);
+    }
+
+    /// When the request that is pipelined behind the open one had come whole, if there is one.
+    pub fn next_request_at(&self) -> Option<Instant> {
+        let received = self.next_request_at.load(Ordering::Relaxed);
+        (received != NEVER).then(|| self.at(received))
+    }
+
     /// The send buffer has no room for what is to be written, or has taken it. A connection is quiet only from then on: the
     /// end of an answer would be lost if it were closed before.
     pub fn set_write_blocked(&self, blocked: bool) {
