Newcomers take the places of idle connections before those of requests that come in pieces

Cause: where descriptors are short, the connection that had been quiet longest was dropped, also one in the middle of a request whose client writes slowly, while idle ones with newer answers stayed: at most they would have had to connect anew.

Change: Slots::make_room drops what holds nothing first.

The tests' free() gives ports below the system's ephemeral range: with hundreds of connections a console's port was taken before its sidecar had started.

--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -615,9 +615,23 @@
 
 // --- The console ------------------------------------------------------------------------------
 
+/// Below the ports that the system gives to connections by itself: nobody else takes one in the meantime.
+const OWN_PORTS: std::ops::Range<u16> = 12_000..32_000;
+static PORTS: AtomicUsize = AtomicUsize::new(0);
+
 /// A port that was free just now.
 pub fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let count = usize::from(OWN_PORTS.end - OWN_PORTS.start);
+    // Test processes that run side by side begin far from each other.
+    let first = std::process::id() as usize * 101;
+    loop {
+        let turn = PORTS.fetch_add(1, Ordering::SeqCst);
+        assert!(turn < count, "no port is free");
+        let port = OWN_PORTS.start + ((first + turn) % count) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 /// A configuration with a console.
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -133,15 +133,18 @@
 }
 
 impl Slots {
-    /// Has the connection closed that has longest been quiet. Which of its peers are honest a sidecar cannot
-    /// know; one that waits for an answer is never closed for another.
+    /// Has the connection closed that has longest been quiet: of those that hold nothing, or where there are none, of those
+    /// in the middle of a request. Which of its peers are honest a sidecar cannot know; one that waits for an answer is
+    /// never closed for another.
     fn make_room(&self) -> bool {
         let now = Instant::now();
         let asked = |slot: &&Arc<Slot>| slot.making_room.load(Ordering::Relaxed);
         let quiet = self.by_task.values().filter(|slot| !asked(slot));
         let quiet = quiet.filter_map(|slot| Some((slot.quiet_since()?, slot)));
-        let longest = quiet.filter(|(since, _)| *since + SETTLED <= now).min_by_key(|(since, _)| *since);
-        let Some((_, slot)) = longest else { return false };
+        let settled = quiet.filter(|(since, _)| *since + SETTLED <= now);
+        // A client that writes slowly loses its request, one that is idle at most connects anew.
+        let first = settled.min_by_key(|(since, slot)| (slot.holds() != Holds::Nothing, *since));
+        let Some((_, slot)) = first else { return false };
         slot.making_room.store(true, Ordering::Relaxed);
         slot.make_room.notify_one();
         true
