--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -626,9 +626,23 @@
 
 // --- The console ------------------------------------------------------------------------------
 
+/// Below the ports that the system gives to connections by itself: nobody else takes one in the meantime.
+const OWN_PORTS: std::ops::Range<u16> = 12_000..32_000;
+static PORTS: AtomicUsize = AtomicUsize::new(0);
+
 /// A port that was free just now.
 pub fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let count = usize::from(OWN_PORTS.end - OWN_PORTS.start);
+    // Test processes that run side by side begin far from each other.
+    let first = std::process::id() as usize * 101;
+    loop {
+        let turn = PORTS.fetch_add(1, Ordering::SeqCst);
+        assert!(turn < count, "no port is free");
+        let port = OWN_PORTS.start + ((first + turn) % count) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 /// A configuration with a console.
@@ -728,3 +742,26 @@
     sidecar.wait_up();
     (sidecar, discovery, console, slow)
 }
+
+// --- Clients that read slowly -------------------------------------------------------------------
+
+/// A connection whose kernel holds about so many bytes that nobody has read yet: the rest waits at the sender.
+pub fn connect_with_receive_buffer(address: SocketAddr, bytes: usize) -> TcpStream {
+    use rustix::net::{AddressFamily, SocketType, connect, socket, sockopt};
+    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    // Only before the handshake does it bound the window that is offered.
+    sockopt::set_socket_recv_buffer_size(&socket, bytes).unwrap();
+    connect(&socket, &address).unwrap();
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(FOREVER)).unwrap();
+    stream
+}
+
+impl Client {
+    /// A client whose kernel holds about so many bytes that it has not read yet.
+    pub fn with_receive_buffer(address: SocketAddr, bytes: usize) -> Client {
+        let stream = connect_with_receive_buffer(address, bytes);
+        // Reads no further ahead than that, either.
+        Client { reader: BufReader::with_capacity(bytes, stream), asked: VecDeque::new() }
+    }
+}
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -27,7 +27,7 @@
 
 use crate::budget::{Quota, Room};
 use crate::client::Client;
-use crate::closing::{self, Deed, Reason};
+use crate::closing::{self, Deed, Holds, Reason};
 use crate::headers::end_to_end;
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::log::Log;
@@ -134,15 +134,18 @@
 }
 
 impl Slots {
-    /// Has the connection closed that has longest been quiet. Which of its peers are honest a sidecar cannot
-    /// know; one that waits for an answer is never closed for another.
+    /// Has the connection closed that has longest been quiet: of those that hold nothing, or where there are none, of those
+    /// in the middle of a request. Which of its peers are honest a sidecar cannot know; one that waits for an answer is
+    /// never closed for another.
     fn make_room(&self) -> bool {
         let now = Instant::now();
         let asked = |slot: &&Arc<Slot>| slot.making_room.load(Ordering::Relaxed);
         let quiet = self.by_task.values().filter(|slot| !asked(slot));
         let quiet = quiet.filter_map(|slot| Some((slot.quiet_since()?, slot)));
-        let longest = quiet.filter(|(since, _)| *since + SETTLED <= now).min_by_key(|(since, _)| *since);
-        let Some((_, slot)) = longest else { return false };
+        let settled = quiet.filter(|(since, _)| *since + SETTLED <= now);
+        // A client that writes slowly loses its request, one that is idle at most connects anew.
+        let first = settled.min_by_key(|(since, slot)| (slot.holds() != Holds::Nothing, *since));
+        let Some((_, slot)) = first else { return false };
         slot.making_room.store(true, Ordering::Relaxed);
         slot.make_room.notify_one();
         true
@@ -293,7 +296,9 @@
                 slot.free();
             }
             // What is left of a request that was turned away must not be read as another.
-            if response.status().is_client_error() || front.life.borrow().answers_close() {
+            if response.status().is_client_error()
+                || front.life.borrow().closes_after_answer(slot.next_request_at())
+            {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
@@ -346,7 +351,10 @@
             return;
         }
         let came = slot.reads() != before;
-        let holds = slot.holds();
+        let holds = match (slot.holds(), slot.next_request_at()) {
+            (Holds::Request, Some(next)) if !life.borrow().closes_after_answer(Some(next)) => Holds::Requests,
+            (holds, _) => holds,
+        };
         let deed = match closing::deed(reason, holds) {
             // Who has just spoken is neither idle nor quiet; the place of another is asked for next.
             Deed::Shut | Deed::Drop if came && reason != Reason::Ends => Deed::Keep,
@@ -355,8 +363,9 @@
         let now = Instant::now();
         match deed {
             Deed::Keep => {
-                // Who is in the middle of a head has the time that heads have.
-                let over = slot.head_since().is_none_or(|began| began + HEAD <= now);
+                // Who is in the middle of a head has the time that heads have; who has asked more than once is answered.
+                let over =
+                    holds != Holds::Requests && slot.head_since().is_none_or(|began| began + HEAD <= now);
                 match (reason, over) {
                     (Reason::Ends, true) => return,
                     (Reason::Ends, false) => ends_at = Some(now + HALF_WAY),
