A torn answer's head reaches the client: no close without a byte behind a taken request

On a connection used before that looks like an idle one that was closed: the request is lost, or sent again though it may have run (answer.rs, poll_frame: the error was returned in the very poll that hyper took the first bytes in).

The error is now returned at the next poll, after hyper has flushed.

small_pieces_of_an_answer_are_not_held_back begins with 64 KiB now: shorter answers are held until they are whole, so that its pieces would never stream; its bound is unchanged.

--- a/crates/cli/tests/answers.rs
+++ b/crates/cli/tests/answers.rs
@@ -155,3 +155,27 @@
     let text = String::from_utf8_lossy(&answer);
     assert!(read.is_err() || text.contains(" 502 "), "{read:?}: {text}");
 }
+
+/// Guards against a close without a byte: on a connection that was used before, a client takes it for an idle one that was
+/// closed, and sends what may run only once again.
+#[test]
+fn an_answer_that_breaks_off_as_it_begins_leaves_its_head_with_the_client() {
+    const LONG: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n0123456789";
+    let upstream = Upstream::new(|message| match message.line.starts_with("GET /fetch") {
+        true => Deed::ok("served"),
+        // Its first bytes and its end arrive together.
+        false => Deed::play(|stream| {
+            stream.write_all(LONG).unwrap();
+            false
+        }),
+    });
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    for _ in 0..20 {
+        assert_eq!(client.ask("fetch").status(), 200);
+        client.write(request("bill", 3_000).as_bytes());
+        let (answer, _) = read_all(&mut client);
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+        client = Client::to(sidecar.address);
+    }
+}
--- a/crates/cli/tests/answers_reach_clients.rs
+++ b/crates/cli/tests/answers_reach_clients.rs
@@ -374,6 +374,10 @@
         Deed::play(move |stream| {
             stream.set_nodelay(true).unwrap();
             let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            // A short one would be held until it is whole.
+            if chunk(stream, &[b'x'; HELD_ANSWER_BYTES + 1]).is_err() {
+                return false;
+            }
             for _ in 0..PIECES {
                 // Two small ones in a row: the second is the one that would wait.
                 for _ in 0..2 {
@@ -401,7 +405,7 @@
         let oldest = stamps.filter_map(|stamp| stamp.parse::<u64>().ok()).min();
         delays.extend(oldest.map(|at| epoch.elapsed().saturating_sub(Duration::from_micros(at))));
     }
-    // The first ones come together: an answer of unknown length is held for a moment.
+    // The first ones come behind the long piece.
     let mut late = delays.split_off(PIECES / 2);
     late.sort_unstable();
     let median = late[late.len() / 2];
--- a/crates/sidecar/src/transfer/answer.rs
+++ b/crates/sidecar/src/transfer/answer.rs
@@ -95,6 +95,8 @@
     timer: Pin<Box<Sleep>>,
     ended: bool,
     torn: bool,
+    /// Why it is to be torn, once what went before has been written.
+    tearing: Option<Torn>,
     slot: Option<Arc<Slot>>,
     delimited_by_close: bool,
     _room: Taken,
@@ -146,21 +148,30 @@
             timer: Box::pin(sleep_until(deadline)),
             ended: false,
             torn: false,
+            tearing: None,
             slot: None,
             delimited_by_close: false,
             _room: room,
         }
     }
 
-    fn pass(&mut self, data: Bytes) -> Poll<Option<Result<Frame<Bytes>, Torn>>> {
+    fn pass(&mut self, data: Bytes, cx: &Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Torn>>> {
         self.passed = self.passed.saturating_add(data.len() as u64);
         if self.passed > MOST_BYTES {
-            return self.tear(Torn::TooLong);
+            return self.tear_later(Torn::TooLong, cx);
         }
         self.waiting_since = None;
         Poll::Ready(Some(Ok(Frame::data(data))))
     }
 
+    /// Tears the answer at the next poll. hyper throws away what it has not written when a body fails: where nothing of the
+    /// answer had been, a client would take its connection for an idle one that was closed, and send the request again.
+    fn tear_later(&mut self, why: Torn, cx: &Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Torn>>> {
+        self.tearing = Some(why);
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+
     fn tear(&mut self, why: Torn) -> Poll<Option<Result<Frame<Bytes>, Torn>>> {
         self.torn = true;
         if let Some(slot) = self.slot.as_ref().filter(|_| self.delimited_by_close) {
@@ -204,23 +215,26 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Torn>>> {
         let this = &mut *self;
+        if let Some(why) = this.tearing.take() {
+            return this.tear(why);
+        }
         if let Some(first) = this.first.take() {
-            return this.pass(first);
+            return this.pass(first, cx);
         }
         loop {
             match Pin::new(&mut this.rest).poll_frame(cx) {
                 // Trailers end with the connection that they came on.
                 Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) if data.is_empty() => {}
-                    Ok(data) => return this.pass(data),
+                    Ok(data) => return this.pass(data, cx),
                     Err(_) => {}
                 },
-                Poll::Ready(Some(Err(error))) => return this.tear(Torn::Upstream(error)),
+                Poll::Ready(Some(Err(error))) => return this.tear_later(Torn::Upstream(error), cx),
                 Poll::Ready(None) => {
                     this.ended = true;
                     return Poll::Ready(None);
                 }
-                Poll::Pending if this.poll_overdue(cx).is_ready() => return this.tear(Torn::Still),
+                Poll::Pending if this.poll_overdue(cx).is_ready() => return this.tear_later(Torn::Still, cx),
                 Poll::Pending => return Poll::Pending,
             }
         }
