Raw HTTP reading and kept client connections each stand once in the stage

Change: raw_http.rs (from once.rs) and kept_connections.rs (from clients.rs), used from where they came.

--- a/crates/stage/src/bin/sagemast-rig/once.rs
+++ b/crates/stage/src/bin/sagemast-rig/once.rs
@@ -13,6 +13,7 @@
 use rustix::process::Signal;
 use sagemast_sidecar::hosts::Health;
 use sagemast_stage::discovery::Discovery;
+use sagemast_stage::raw_http::{header, read_body, read_head, reset};
 use sagemast_stage::single::Site;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -49,43 +50,6 @@
     }
 }
 
-/// The value of a header, by the plainest reading there is.
-fn value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    head.lines().find_map(|line| {
-        let (key, value) = line.split_once(':')?;
-        key.eq_ignore_ascii_case(name).then(|| value.trim())
-    })
-}
-
-/// Reads on until a head is whole; what follows it is left in `rest`.
-async fn head(stream: &mut TcpStream, rest: &mut Vec<u8>) -> Option<String> {
-    loop {
-        if let Some(at) = rest.windows(4).position(|four| four == b"\r\n\r\n") {
-            let head = rest.drain(..at + 4).collect();
-            return String::from_utf8(head).ok();
-        }
-        if stream.read_buf(rest).await.ok()? == 0 {
-            return None;
-        }
-    }
-}
-
-async fn body(stream: &mut TcpStream, rest: &mut Vec<u8>, length: usize) -> Option<()> {
-    while rest.len() < length {
-        if stream.read_buf(rest).await.ok()? == 0 {
-            return None;
-        }
-    }
-    rest.drain(..length);
-    Some(())
-}
-
-fn reset(stream: TcpStream) {
-    let socket = stream.into_std();
-    // One that cannot be reset is closed.
-    let _ = socket.map(|socket| rustix::net::sockopt::set_socket_linger(&socket, Some(Duration::ZERO)));
-}
-
 /// One connection of an upstream.
 async fn upstream(mut stream: TcpStream, book: Arc<Book>, seed: u64) {
     let _ = stream.set_nodelay(true);
@@ -99,8 +63,8 @@
         }
         // It closes what rests, at a time of its own.
         let rests = Duration::from_millis(rng.rand_range(5..400));
-        let Ok(Some(head)) = timeout(rests, head(&mut stream, &mut rest)).await else { return };
-        let length = value(&head, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+        let Ok(Some(head)) = timeout(rests, read_head(&mut stream, &mut rest)).await else { return };
+        let length = header(&head, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
         // It answers before all has come, now and then.
         let early = length > 0 && rng.rand_range(0..30) == 0;
         let full: &[u8] = b"HTTP/1.1 503 x\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
@@ -108,10 +72,10 @@
             let _ = stream.write_all(full).await;
             return;
         }
-        if body(&mut stream, &mut rest, length).await.is_none() {
+        if read_body(&mut stream, &mut rest, length).await.is_none() {
             return;
         }
-        let Some(id) = value(&head, "x-request-id") else {
+        let Some(id) = header(&head, "x-request-id") else {
             let report = b"HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\nTEXT inflight=0, eps=0, util=0.100\n";
             if stream.write_all(report.get(..report.len() - 1).unwrap_or_default()).await.is_err() {
                 return;
@@ -215,15 +179,16 @@
             continue;
         }
         let mut rest = Vec::new();
-        let answer = timeout(PATIENCE + SLACK, head(&mut stream, &mut rest)).await;
+        let answer = timeout(PATIENCE + SLACK, read_head(&mut stream, &mut rest)).await;
         if let Ok(Some(answer)) = answer {
             let status = answer.split(' ').nth(1).and_then(|status| status.parse().ok());
-            let length = value(&answer, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
-            if body(&mut stream, &mut rest, length).await.is_some() {
+            let length =
+                header(&answer, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+            if read_body(&mut stream, &mut rest, length).await.is_some() {
                 if let Some(case) = book.cases().get_mut(&id) {
                     case.answered = status;
                 }
-                let closes = value(&answer, "connection").is_some_and(|value| value == "close");
+                let closes = header(&answer, "connection").is_some_and(|value| value == "close");
                 kept = Some(stream).filter(|_| !closes && rng.rand_range(0..3) > 0);
             }
         }
--- a/crates/stage/src/clients.rs
+++ b/crates/stage/src/clients.rs
@@ -11,20 +11,18 @@
 use oorandom::Rand64;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use crate::kept_connections::{ClientConnection, KeptConnections};
 
 /// An answer that comes this long after the client's time is up is lost all the same.
 const SLACK: Duration = Duration::from_millis(50);
-/// The wait before another connection is tried where one was refused.
-const REFUSED: Duration = Duration::from_millis(10);
 /// Times are told apart up to a minute.
 const LONGEST_US: u64 = 60_000_000;
 /// The body of a save: a page of a transcript.
 pub const DRAFT_BYTES: usize = 4 << 10;
 /// Within this time an answer is worth something, as `fleet::SETTINGS` has it.
 pub const AIM: Duration = Duration::from_millis(500);
-/// Connections that are kept while they are idle; the oldest go first.
-const KEPT: usize = 32;
 
 /// A class of requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -174,9 +172,8 @@
 
 /// The application beside one instance.
 pub struct Application {
-    address: SocketAddr,
     tally: Arc<Tally>,
-    idle: Mutex<Vec<TcpStream>>,
+    kept: KeptConnections,
     timeout: Duration,
     mark: char,
     /// Whether new connections go elsewhere.
@@ -192,11 +189,7 @@
     /// The same, whose ids begin with a hexadecimal digit of its own.
     pub fn marked(address: SocketAddr, tally: Arc<Tally>, timeout: Duration, mark: char) -> Arc<Application> {
         let away = AtomicBool::new(false);
-        Arc::new(Application { address, tally, idle: Mutex::default(), timeout, mark, away })
-    }
-
-    fn idle(&self) -> MutexGuard<'_, Vec<TcpStream>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        Arc::new(Application { kept: KeptConnections::to(address), tally, timeout, mark, away })
     }
 
     /// Opens no new connection from now on, and uses those that stay open; or opens them again.
@@ -206,17 +199,12 @@
 
     /// Idle connections that the other side has not closed.
     pub fn open_connections(&self) -> usize {
-        let mut idle = self.idle();
-        idle.retain(|stream| {
-            let read = stream.try_read(&mut [0; 1]);
-            read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
-        });
-        idle.len()
+        self.kept.open()
     }
 
     /// Closes the idle connections.
     pub fn hang_up(&self) {
-        self.idle().clear();
+        self.kept.clear();
     }
 
     /// Sends requests at a rate, whether or not answers come, until a time; then waits for the last answers.
@@ -245,7 +233,7 @@
 
     /// The same, which tells the work that it is, in microseconds.
     pub async fn ask_for(&self, class: Class, phase: usize, cost_us: Option<u64>) -> Option<u16> {
-        if self.away.load(Ordering::Relaxed) && self.idle().is_empty() {
+        if self.away.load(Ordering::Relaxed) && self.kept.is_empty() {
             // It goes to another sidecar.
             return None;
         }
@@ -258,21 +246,18 @@
         let begun = Instant::now();
         let until = begun + self.timeout;
         loop {
-            let (stream, used) = match self.connection(until).await {
-                Some(connection) => connection,
-                None => {
-                    self.tally.book().kept_out += 1;
-                    return None;
-                }
+            let refused = || self.tally.book().turned_away += 1;
+            let Some(ClientConnection { mut stream, is_reused }) = self.kept.get(until, refused).await else {
+                self.tally.book().kept_out += 1;
+                return None;
             };
             let left = until.saturating_duration_since(Instant::now()).as_millis().max(1);
-            let mut stream = stream;
             let went = exchange(&mut stream, &costed(class, &id, left as u64, cost_us), until + SLACK).await;
             let mut book = self.tally.book();
             match went {
                 // Nothing was taken: the same request goes over another connection.
                 Went::Unsent => continue,
-                Went::Nothing if used => {
+                Went::Nothing if is_reused => {
                     book.unanswered.push(id);
                     drop(book);
                     self.hang_up();
@@ -306,11 +291,7 @@
                     }
                     drop(book);
                     if keep {
-                        let mut idle = self.idle();
-                        idle.push(stream);
-                        if idle.len() > KEPT {
-                            idle.remove(0);
-                        }
+                        self.kept.keep(stream);
                     }
                     return Some(status);
                 }
@@ -318,36 +299,6 @@
             return None;
         }
     }
-
-    /// A connection, and whether it was used before.
-    async fn connection(&self, until: Instant) -> Option<(TcpStream, bool)> {
-        loop {
-            let kept = self.idle().pop();
-            if let Some(stream) = kept {
-                // One that has been closed meanwhile is not written to.
-                match stream.try_read(&mut [0; 1]) {
-                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
-                        return Some((stream, true));
-                    }
-                    _ => continue,
-                }
-            }
-            match timeout_at(until, TcpStream::connect(self.address)).await {
-                Ok(Ok(stream)) => {
-                    let _ = stream.set_nodelay(true);
-                    return Some((stream, false));
-                }
-                Ok(Err(_)) => {
-                    self.tally.book().turned_away += 1;
-                    if Instant::now() + REFUSED >= until {
-                        return None;
-                    }
-                    sleep(REFUSED).await;
-                }
-                Err(_) => return None,
-            }
-        }
-    }
 }
 
 /// A request as the platform's application writes it.
