sagemast-rig answered: one whole answer in time for each accepted request

Requests that had been taken ended with no whole answer or too late; nothing measured it on sockets.

--- a/crates/stage/src/bin/sagemast-rig/main.rs
+++ b/crates/stage/src/bin/sagemast-rig/main.rs
@@ -1,6 +1,7 @@
 //! Scenarios on loopback that bring failures about and measure what they cost. Each prints a table, then one line of
 //! JSON with its figures, and the program ends with 1 if a bound does not hold.
 
+mod answered;
 mod console;
 mod crossing;
 mod daemon_kill;
@@ -66,6 +67,8 @@
     Console,
     /// Work that may run only once, through resets at any byte, late and wrong answers, clients that leave, ends and upgrades.
     Once,
+    /// Every accepted request gets one whole answer in time: broken answers of all shapes, a lost zone, a starved daemon.
+    Answered,
     /// What a sidecar adds to a request, beside a bare pass-through to the same upstreams.
     OrdinaryPath,
 }
@@ -90,6 +93,7 @@
             Scenario::DaemonScale => daemon_scale::run(&program, cli.short).await,
             Scenario::DaemonKill => daemon_kill::run(&program, cli.short).await,
             Scenario::OrdinaryPath => ordinary_path::run(&program, cli.short).await,
+            Scenario::Answered => answered::run(&program, cli.short).await,
             Scenario::Once => once::run(&program, cli.short).await,
             Scenario::Upgrade => upgrade::run(&program, cli.short).await,
             Scenario::Evacuate => evacuate::run(&program, cli.short).await,
--- a/crates/stage/src/discovery.rs
+++ b/crates/stage/src/discovery.rs
@@ -87,7 +87,12 @@
 
     /// The same for any address, of the usual size and long since warm.
     pub fn put_at(&self, name: &str, dial: std::net::SocketAddr, health: Health) {
-        self.list(name, dial, health, 1.0, 0.0, ("east", 1));
+        self.put_in(name, dial, health, ("east", 1));
+    }
+
+    /// The same in this zone, with the number of its cell.
+    pub fn put_in(&self, name: &str, dial: std::net::SocketAddr, health: Health, place: (&str, u64)) {
+        self.list(name, dial, health, 1.0, 0.0, place);
     }
 
     fn list(
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -2,6 +2,9 @@
 //! discovery, clients that know what was lost, and the program itself as a process. The scenarios are in
 //! `sagemast-rig`, which is never shipped.
 
+pub mod answer_audit;
+pub mod answer_parser;
+pub mod answer_plan;
 pub mod buildings;
 pub mod clients;
 pub mod datagrams;
@@ -14,5 +17,6 @@
 pub mod procfs;
 pub mod program;
 pub mod raw_http;
+pub mod scripted_upstream;
 pub mod single;
 pub mod upstream;
