The judge of the socket tests counts one whole final answer in time for each accepted request

Change: loopback/final_answers.rs, pure, says of each wait whether it was kept or lost (no answer, torn though no upstream broke off, more than 0.5 s late, more than one answer); clients tell the judge what they send and how the wait ended; each sidecar is judged at its drop, and once.rs as before. Covered are requests sent by Client::send and ask, not those that a test writes by hand.

--- a/crates/cli/tests/loopback/judge.rs
+++ b/crates/cli/tests/loopback/judge.rs
@@ -1,11 +1,13 @@
-//! Who can tell whether anything was sent again that may run only once: every stand-in upstream tells of each request whose last
-//! byte has come, each client of the answer it was given, and each test that runs the program ends by asking. Shares no code
-//! with the program.
+//! Who can tell whether anything was sent again that may run only once, and whether each accepted request got exactly one whole
+//! final answer in time: every stand-in upstream tells of each request whose last byte has come, each client of what it sent and
+//! of the answer it was given, and each test that runs the program ends by asking. Shares no code with the program.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{LazyLock, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use super::final_answers::{Attempts, Breach, Counts, Ended, Wait};
 use super::{Deed, Message};
 
 /// The longest window of a key in any settings of these tests.
@@ -21,6 +23,10 @@
     answered: Option<u16>,
     /// How often its client has sent it once more of its own accord.
     again: usize,
+    /// Its client's wait, once it was sent whole.
+    wait: Option<Wait>,
+    /// Attempts that came whole, with those of which only the test knows what became.
+    attempts: Attempts,
 }
 
 static CASES: LazyLock<Mutex<HashMap<String, Case>>> = LazyLock::new(Mutex::default);
@@ -45,10 +51,19 @@
     status && whole && matches!(marks[..], [mark] if *mark == "X-Not-Processed: 1")
 }
 
+/// Whether an upstream that does this may leave its answer unfinished.
+fn may_break_off(deed: &Deed) -> bool {
+    !matches!(deed, Deed::Answer(..) | Deed::AnswerAndClose | Deed::Wait(_))
+}
+
 /// An attempt has come whole, and this is what its upstream does with it.
 pub fn came(message: &Message, deed: &Deed) {
     let Some(id) = message.header("x-request-id") else { return };
     let class = message.line.split(['/', '?']).nth(1).unwrap_or_default().to_owned();
+    with_case(id, |case| {
+        case.attempts.came += 1;
+        case.attempts.may_break_off |= may_break_off(deed);
+    });
     let may_have_run = match deed {
         Deed::Answer(status, more, body) => {
             let head = format!("HTTP/1.1 {status} x\r\nContent-Length: {}\r\n{more}\r\n", body.len());
@@ -70,6 +85,36 @@
     with_case(id, |case| case.answered = Some(status));
 }
 
+/// A client has sent this whole to a sidecar there, over a new connection or one that it had kept, and waits for so long.
+pub fn accepted(id: &str, by: Option<SocketAddr>, timeout: Duration, on_new_connection: bool) {
+    let accepted = Instant::now();
+    let wait = Wait { accepted, by, timeout, on_new_connection, ended: None, surplus: false };
+    with_case(id, |case| case.wait = Some(wait));
+}
+
+/// The wait for its answer has ended.
+pub fn ended(id: &str, ended: Ended) {
+    with_case(id, |case| {
+        if let Some(wait) = &mut case.wait {
+            wait.ended.get_or_insert(ended);
+        }
+    });
+}
+
+/// More came on its connection than its answer.
+pub fn more_came(id: &str) {
+    with_case(id, |case| {
+        if let Some(wait) = &mut case.wait {
+            wait.surplus = true;
+        }
+    });
+}
+
+/// How a request was lost, if it was.
+pub fn breach(id: &str) -> Option<Breach> {
+    with_case(id, |case| case.breach())
+}
+
 /// Its client sends it once more, as a request of its own under the same id.
 pub fn asked_again(id: &str) {
     with_case(id, |case| case.again += 1);
@@ -80,6 +125,25 @@
     with_case(id, |case| case.came.len())
 }
 
+impl Case {
+    fn breach(&self) -> Option<Breach> {
+        self.wait.and_then(|wait| wait.breach(self.attempts))
+    }
+}
+
+/// No request that was accepted at this address was lost. Each is judged with the sidecar that had accepted it, so that a loss
+/// fails the test that it belongs to.
+pub fn verdict_on_answers(address: SocketAddr) {
+    let cases = CASES.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut counts = Counts::default();
+    for (id, case) in &*cases {
+        let Some(wait) = case.wait.filter(|wait| wait.by == Some(address)) else { continue };
+        counts.add(&wait, case.attempts);
+        assert_eq!(case.breach(), None, "{id} has not got one whole answer in time: {case:?}");
+    }
+    println!("final answers at {address}: {counts:?}");
+}
+
 /// Nothing that may run only once was sent again or refused after it may have run, and nothing with a key after its window.
 pub fn verdict() {
     let cases = CASES.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -1,6 +1,7 @@
 //! A small stage of real sockets: upstreams, discovery and clients that do as a test tells them.
 #![allow(dead_code)]
 
+pub mod final_answers;
 pub mod judge;
 
 use std::collections::VecDeque;
@@ -12,6 +13,8 @@
 use std::sync::{Arc, Mutex, mpsc};
 use std::time::{Duration, Instant};
 
+use final_answers::{End, Ended};
+
 /// Nothing here takes this long unless it never comes.
 pub const FOREVER: Duration = Duration::from_secs(30);
 
@@ -527,6 +530,7 @@
         let _ = self.child.wait();
         if !std::thread::panicking() {
             judge::verdict();
+            judge::verdict_on_answers(self.address);
         }
     }
 }
@@ -536,30 +540,72 @@
     pub reader: BufReader<TcpStream>,
     /// The ids of its requests that have no answer yet.
     asked: VecDeque<String>,
+    /// The last one that has its answer.
+    answered: Option<String>,
+    /// Whether it has written anything but requests that the judge knows of.
+    is_raw: bool,
 }
 
 impl Client {
     pub fn to(address: SocketAddr) -> Client {
         let stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(FOREVER)).unwrap();
-        Client { reader: BufReader::new(stream), asked: VecDeque::new() }
+        Client { reader: BufReader::new(stream), asked: VecDeque::new(), answered: None, is_raw: false }
     }
 
     pub fn write(&mut self, text: &[u8]) {
+        self.is_raw = true;
+        self.try_write(text);
+    }
+
+    /// Whether all of it was written: not if the other side has said no and closed.
+    fn try_write(&mut self, text: &[u8]) -> bool {
         match self.reader.get_mut().write_all(text) {
-            Ok(()) => {}
-            // The other side has said no and closed: what it said is still to be read.
-            Err(error) if matches!(error.kind(), ErrorKind::BrokenPipe | ErrorKind::ConnectionReset) => {}
+            Ok(()) => true,
+            // What it said is still to be read.
+            Err(error) if matches!(error.kind(), ErrorKind::BrokenPipe | ErrorKind::ConnectionReset) => false,
             Err(error) => panic!("{error}"),
         }
     }
 
     pub fn read(&mut self) -> Option<Message> {
-        let answer = read_message(&mut self.reader)?;
+        let (answer, ended) = self.read_answer();
         if let Some(id) = self.asked.pop_front() {
-            judge::answered(&id, answer.status());
+            judge::ended(&id, ended);
+            if let Some(answer) = &answer {
+                judge::answered(&id, answer.status());
+                self.answered = Some(id);
+            }
         }
-        Some(answer)
+        answer
+    }
+
+    /// The next answer, if it comes whole, and how the wait for it ended.
+    fn read_answer(&mut self) -> (Option<Message>, Ended) {
+        let read_from = Instant::now();
+        let first = self.reader.fill_buf().map(|bytes| !bytes.is_empty());
+        let begun_at = Instant::now();
+        let ended = |end, bytes| Ended { end, read_from, begun_at, at: Instant::now(), bytes };
+        let begun = match first {
+            Ok(begun) => begun,
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return (None, ended(End::GaveUp, 0));
+            }
+            Err(_) => false,
+        };
+        let mut counted = (&mut self.reader).take(u64::MAX);
+        let answer = read_message(&mut counted);
+        let bytes = u64::MAX - counted.limit();
+        let end = if answer.is_some() { End::Answered } else { End::CutOff { begun } };
+        (answer, ended(end, bytes))
+    }
+
+    /// Whether anything has come that answers none of its requests. Only asked where the judge knows of all of them.
+    fn has_surplus(&self) -> bool {
+        let stream = self.reader.get_ref();
+        let in_socket =
+            || stream.set_nonblocking(true).is_ok() && stream.peek(&mut [0; 1]).is_ok_and(|count| count > 0);
+        !self.reader.buffer().is_empty() || in_socket()
     }
 
     /// Reads on until the other side closes; what came before that. `None` if it does not close.
@@ -579,9 +625,19 @@
 
     /// Sends a whole request of a class.
     pub fn send(&mut self, class: &str, timeout_ms: u64) {
+        self.send_numbered(class, timeout_ms);
+    }
+
+    /// The same; its id.
+    pub fn send_numbered(&mut self, class: &str, timeout_ms: u64) -> String {
         let (id, text) = numbered(class, timeout_ms);
-        self.asked.push_back(id);
-        self.write(text.as_bytes());
+        let is_new = self.answered.is_none() && self.asked.is_empty() && !self.is_raw;
+        self.asked.push_back(id.clone());
+        if self.try_write(text.as_bytes()) {
+            let by = self.reader.get_ref().peer_addr().ok();
+            judge::accepted(&id, by, Duration::from_millis(timeout_ms), is_new);
+        }
+        id
     }
 
     pub fn ask(&mut self, class: &str) -> Message {
@@ -590,6 +646,19 @@
     }
 }
 
+impl Drop for Client {
+    fn drop(&mut self) {
+        for id in &self.asked {
+            let now = Instant::now();
+            judge::ended(id, Ended { end: End::Left, read_from: now, begun_at: now, at: now, bytes: 0 });
+        }
+        let known = self.asked.is_empty() && !self.is_raw;
+        if let Some(id) = self.answered.take().filter(|_| known && self.has_surplus()) {
+            judge::more_came(&id);
+        }
+    }
+}
+
 static IDS: AtomicU64 = AtomicU64::new(1);
 
 /// A request as the application sends it.
