Long answers are timed by their first bytes in the rig, and must not be cut off

Change: the audit does so for short ones only; some long plans go on 0.9 s beyond their client's time, and a torn answer of which every upstream gave its attempt whole is counted as cut off (0). What became of the attempts comes from the upstreams' registry, the loss of a zone included. Figures by phase.

--- a/crates/stage/src/answer_parser.rs
+++ b/crates/stage/src/answer_parser.rs
@@ -69,6 +69,11 @@
         !self.bytes.is_empty()
     }
 
+    /// Whether anything of a final answer's body has come.
+    pub fn has_body(&self) -> bool {
+        self.head.is_some_and(|head| self.bytes.len() > head.end)
+    }
+
     /// Takes in what has come. The answer, if it is whole now.
     pub fn feed(&mut self, bytes: &[u8]) -> Option<FinalAnswer> {
         self.bytes.extend_from_slice(bytes);
--- a/crates/stage/src/answer_plan.rs
+++ b/crates/stage/src/answer_plan.rs
@@ -87,6 +87,13 @@
     Endless,
 }
 
+/// One in so many long answers without a fault takes longer than its client's time, where that is short enough
+const OUTLASTING: u64 = 6;
+const MAX_OUTLASTED: Duration = Duration::from_millis(900);
+/// by this much, in so many pieces: its first bytes are in time, and what an upstream gives is not to be cut off.
+const OUTLASTS_BY: Duration = Duration::from_millis(900);
+const OUTLASTING_PIECES: usize = 8;
+
 /// What an upstream answers to one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerPlan {
@@ -137,7 +144,7 @@
         }
     }
 
-    /// Any answer, whole within half of the client's time if nothing goes wrong.
+    /// Any answer, whole within half of the client's time if nothing goes wrong; but for some that are long.
     pub fn draw(rng: &mut Rand64, timeout: Duration) -> AnswerPlan {
         let framings = [Framing::ContentLength, Framing::Chunked, Framing::CloseDelimited];
         let framing = framings[rng.rand_range(0..3) as usize];
@@ -157,7 +164,15 @@
         let fault = (rng.rand_range(0..100) < FAULTY_PERCENT).then(|| Fault::draw(rng, framing));
         let twice = rng.rand_range(0..100) < FAULTY_TWICE_PERCENT;
         let faulty_attempts = if fault.is_none() { 0 } else { 1 + u32::from(twice) };
-        AnswerPlan { framing, body_bytes, pieces, pause, work, fault, faulty_attempts }
+        let plan = AnswerPlan { framing, body_bytes, pieces, pause, work, fault, faulty_attempts };
+        let may_outlast = plan.size() == Size::Long && fault.is_none() && timeout <= MAX_OUTLASTED;
+        if may_outlast && rng.rand_range(0..OUTLASTING) == 0 { plan.outlasting(timeout) } else { plan }
+    }
+
+    /// The same in pieces that go on beyond a client's time.
+    fn outlasting(self, timeout: Duration) -> AnswerPlan {
+        let pause = (timeout + OUTLASTS_BY) / (OUTLASTING_PIECES as u32 - 1);
+        AnswerPlan { pieces: OUTLASTING_PIECES, pause, ..self }
     }
 
     /// The size of the answer, with the fault that a client may have seen.
--- a/crates/stage/src/bin/sagemast-rig/answered.rs
+++ b/crates/stage/src/bin/sagemast-rig/answered.rs
@@ -254,25 +254,30 @@
     report.figure("crossed a close and sent once more", book.crossed_close as f64);
     report.figure("taken", audit.taken() as f64);
     report.figure("whole", count(Outcome::Whole));
+    report.figure("of these over 64 KiB and begun in time only", book.outlasting as f64);
     report.figure("whole up to 0.5 s late", count(Outcome::WorthlessWhole));
     report.figure("refused", count(Outcome::Refused));
     report.figure("failed in time", count(Outcome::Failed));
     report.figure("torn", torn);
+    report.figure("over 64 KiB and still coming", count(Outcome::StillComing));
     report.figure("stalled", stalled);
     report.bound("late over 0.5 s or stalled", count(Outcome::Late) + stalled, 0.0);
+    report.bound("cut off though its upstream gave it whole", count(Outcome::CutOff), 0.0);
     report.bound("unanswered", count(Outcome::Unanswered), 0.0);
     report.bound("torn or stalled and savable", audit.savable as f64, 0.0);
     report.figure("torn or stalled beyond saving", torn + stalled - audit.savable as f64);
     report.bound("not what an upstream made", count(Outcome::Wrong), 0.0);
     report.bound("bytes behind an answer", surplus as f64, 0.0);
     report.bound("none whole", f64::from(u8::from(count(Outcome::Whole) == 0.0)), 0.0);
-    for ((phase, (asked, times)), cores) in PHASES.iter().zip(&book.honest).zip(cores) {
+    let phases = PHASES.iter().zip(&book.honest).zip(cores).zip(&book.breaches);
+    for (((phase, (asked, times)), cores), breaches) in phases {
         report.figure(&format!("{phase}: honest whole"), times.len() as f64 / (*asked as f64));
         for (quantile, name) in [(0.5, "p50"), (0.99, "p99")] {
             let ms = times.value_at_quantile(quantile) as f64 / 1e3;
             report.figure(&format!("{phase}: honest {name} ms"), ms);
         }
         report.figure(&format!("{phase}: cores used"), cores);
+        report.figure(&format!("{phase}: cases that break a bound"), *breaches as f64);
     }
     audit.explanations().into_iter().for_each(|line| report.note(line));
     book.shown.iter().for_each(|(_, case)| report.note(case.clone()));
--- a/crates/stage/src/bin/sagemast-rig/answered/client.rs
+++ b/crates/stage/src/bin/sagemast-rig/answered/client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
-use sagemast_stage::answer_audit::{Audit, Ending, LATE_SLACK, Outcome, could_be_saved};
+use sagemast_stage::answer_audit::{Audit, Ending, LATE_SLACK, Observed, Outcome, could_be_saved};
 use sagemast_stage::answer_parser::{AnswerParser, ConnectionEnd, Incomplete};
 use sagemast_stage::answer_plan::AnswerPlan;
 use sagemast_stage::clients::{Class, request};
@@ -62,22 +62,16 @@
     pub not_taken: u64,
     /// Requests that crossed the close of an idle connection unread, and were sent once more.
     pub crossed_close: u64,
+    /// Whole answers over 64 KiB that began in time and ended after `LATE_SLACK`.
+    pub outlasting: u64,
     /// Honest requests in each phase, and the latencies in microseconds of those that were answered whole.
     pub honest: [(u64, Histogram<u64>); PHASES.len()],
-    /// Cases that break a bound.
+    /// Cases that break a bound, by phase.
+    pub breaches: [u64; PHASES.len()],
+    /// Some of them.
     pub shown: Vec<(Outcome, String)>,
 }
 
-/// What is known of a request that was sent.
-struct Sent {
-    /// The time from its last byte to the end of its client's wait.
-    took: Duration,
-    /// How long its client was ready to wait from then on.
-    timeout: Duration,
-    /// Attempts that came to upstreams.
-    attempts: u32,
-}
-
 impl Book {
     /// An empty one.
     pub fn new() -> Result<Book, String> {
@@ -86,15 +80,18 @@
             audit: Audit::default(),
             not_taken: 0,
             crossed_close: 0,
+            outlasting: 0,
             honest: PHASES.map(|_| (0, times.clone())),
+            breaches: [0; PHASES.len()],
             shown: Vec::new(),
         })
     }
 
-    fn enter(&mut self, request: &Request, ending: &Ending, sent: Sent) {
-        let Sent { took, timeout, attempts } = sent;
-        let outcome = Outcome::of(ending, &request.id, &request.plan, took, timeout);
+    fn enter(&mut self, request: &Request, ending: &Ending, observed: Observed) {
+        let Observed { timeout, took, attempts, .. } = observed;
+        let outcome = Outcome::of(ending, &request.id, &request.plan, observed);
         self.audit.enter(outcome, ending, request.class, &request.plan);
+        self.outlasting += u64::from(outcome == Outcome::Whole && took > timeout + LATE_SLACK);
         if request.is_honest {
             let (asked, times) = &mut self.honest[request.phase];
             *asked += 1;
@@ -102,16 +99,14 @@
                 times.saturating_record(took.as_micros() as u64);
             }
         }
-        let breaks = match outcome {
-            Outcome::Stalled | Outcome::Late | Outcome::Unanswered | Outcome::Wrong => true,
-            Outcome::Torn => could_be_saved(request.class, &request.plan),
-            Outcome::Whole | Outcome::WorthlessWhole | Outcome::Refused | Outcome::Failed => false,
-        };
+        let savable = outcome == Outcome::Torn && could_be_saved(request.class, &request.plan);
+        let breaks = outcome.is_lost() || savable;
+        self.breaches[request.phase] += u64::from(breaks);
         let of_its_kind = self.shown.iter().filter(|(shown, _)| *shown == outcome).count();
         if breaks && of_its_kind < MAX_SHOWN {
             let Request { id, class, plan, reading, phase, .. } = request;
             let text = format!(
-                "{outcome:?} {id} {} after {} of {} ms, {}, {attempts} attempts, {reading:?}, {plan:?}",
+                "{outcome:?} {id} {} after {} of {} ms, {}, {attempts:?}, {reading:?}, {plan:?}",
                 class.name(),
                 took.as_millis(),
                 timeout.as_millis(),
@@ -173,17 +168,17 @@
                 }
             }
             let sent_at = Instant::now();
-            let ending = read_answer(&mut stream, asked.reading, sent_at, left).await;
+            let (ending, begun) = read_answer(&mut stream, asked.reading, sent_at, left).await;
             let took = sent_at.elapsed();
             let attempts = self.registry.attempts(&asked.id);
-            let unread = ending == Ending::Incomplete(Incomplete::Nothing) && attempts == 0;
+            let unread = ending == Ending::Incomplete(Incomplete::Nothing) && attempts.count == 0;
             if unread && is_reused && !is_resent {
                 self.book().crossed_close += 1;
                 self.kept.clear();
                 is_resent = true;
                 continue;
             }
-            self.book().enter(asked, &ending, Sent { took, timeout: left, attempts });
+            self.book().enter(asked, &ending, Observed { timeout: left, begun, took, attempts });
             let keeps_alive = matches!(&ending, Ending::Answer(answer) if answer.keeps_alive);
             if keeps_alive && asked.reading == Reading::AtOnce {
                 self.kept.keep(stream);
@@ -205,26 +200,31 @@
     }
 }
 
-/// Reads an answer until it is whole, its connection ends, or it is long too late.
+/// Reads an answer until it is whole, its connection ends, or it is long too late. Also when its body began.
 async fn read_answer(
     stream: &mut TcpStream,
     reading: Reading,
     sent_at: Instant,
     timeout: Duration,
-) -> Ending {
+) -> (Ending, Option<Duration>) {
     let mut parser = AnswerParser::default();
     let give_up_at = sent_at + timeout + LATE_SLACK + WATCH;
     let mut buffer = vec![0; 64 << 10];
+    let mut begun = None;
     loop {
         let slow = reading == Reading::Slow && sent_at.elapsed() < timeout / 2;
         let most = if slow { SLOW_READ_BYTES } else { buffer.len() };
         let end = match timeout_at(give_up_at, stream.read(&mut buffer[..most])).await {
-            Err(_) => return Ending::GaveUp { begun: parser.has_begun() },
+            Err(_) => return (Ending::GaveUp { begun: parser.has_begun() }, begun),
             Ok(Ok(0)) => ConnectionEnd::Closed,
             Ok(Err(_)) => ConnectionEnd::Reset,
             Ok(Ok(read)) => {
-                if let Some(answer) = parser.feed(&buffer[..read]) {
-                    return Ending::Answer(answer);
+                let whole = parser.feed(&buffer[..read]);
+                if begun.is_none() && parser.has_body() {
+                    begun = Some(sent_at.elapsed());
+                }
+                if let Some(answer) = whole {
+                    return (Ending::Answer(answer), begun);
                 }
                 if slow {
                     sleep(SLOW_PAUSE).await;
@@ -232,6 +232,6 @@
                 continue;
             }
         };
-        return parser.finish(end).map_or_else(Ending::Incomplete, Ending::Answer);
+        return (parser.finish(end).map_or_else(Ending::Incomplete, Ending::Answer), begun);
     }
 }
--- a/crates/stage/src/scripted_upstream.rs
+++ b/crates/stage/src/scripted_upstream.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::answer_plan::{AnswerPlan, Step};
+use crate::answer_plan::{AnswerPlan, Fault, Step};
 use crate::raw_http::{header, read_body, read_head, reset};
 
 /// The accept queue of an upstream that is up.
@@ -33,6 +33,31 @@
 struct Expected {
     plan: AnswerPlan,
     attempts: u32,
+    /// Whether the zone of an attempt was lost under it.
+    zone_was_lost: bool,
+}
+
+/// What upstreams have done with a request so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Attempts {
+    /// How many have come.
+    pub count: u32,
+    /// The worst that was done to one of them: which one's answer a client gets, nobody here can tell.
+    pub worst: WorstAnswer,
+}
+
+/// What an upstream did with an attempt.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum WorstAnswer {
+    /// There was none.
+    #[default]
+    None,
+    /// It answers it whole, or still does.
+    Whole,
+    /// It reset or closed the connection itself.
+    BrokeOff,
+    /// It stopped and left the connection open, has no end, or its zone was lost.
+    Stopped,
 }
 
 /// The requests that are out, shared by clients and upstreams.
@@ -46,12 +71,28 @@
 
     /// A client is about to send this.
     pub fn expect(&self, id: &str, plan: AnswerPlan) {
-        self.requests().insert(id.to_owned(), Expected { plan, attempts: 0 });
+        self.requests().insert(id.to_owned(), Expected { plan, attempts: 0, zone_was_lost: false });
+    }
+
+    /// What upstreams have done with it so far.
+    pub fn attempts(&self, id: &str) -> Attempts {
+        let Some(request) = self.requests().get(id).copied() else { return Attempts::default() };
+        let count = request.attempts;
+        let worst = match request.plan.fault {
+            _ if count == 0 => WorstAnswer::None,
+            _ if request.zone_was_lost => WorstAnswer::Stopped,
+            None => WorstAnswer::Whole,
+            Some(Fault::Reset(_) | Fault::Close(_)) => WorstAnswer::BrokeOff,
+            Some(Fault::Stall(_) | Fault::Endless | Fault::Dribble) => WorstAnswer::Stopped,
+        };
+        Attempts { count, worst }
     }
 
-    /// Attempts of it that have come so far.
-    pub fn attempts(&self, id: &str) -> u32 {
-        self.requests().get(id).map_or(0, |request| request.attempts)
+    /// The zone of an attempt is lost under it.
+    fn lose(&self, id: &str) {
+        if let Some(request) = self.requests().get_mut(id) {
+            request.zone_was_lost = true;
+        }
     }
 
     /// Its client waits no longer.
@@ -165,21 +206,23 @@
 /// Serves a connection; while its zone is lost nothing moves on it, and then it is reset.
 async fn serve(mut stream: TcpStream, registry: Arc<Registry>, zone: Arc<Zone>) {
     let _ = stream.set_nodelay(true);
-    let resets = tokio::select! {
+    let mut current = None;
+    let ended = tokio::select! {
         biased;
-        () = zone.until(true) => {
-            zone.until(false).await;
-            true
-        }
-        resets = answer_all(&mut stream, &registry) => resets,
+        () = zone.until(true) => None,
+        resets = answer_all(&mut stream, &registry, &mut current) => Some(resets),
     };
-    if resets {
+    if ended.is_none() {
+        current.iter().for_each(|id: &String| registry.lose(id));
+        zone.until(false).await;
+    }
+    if ended.unwrap_or(true) {
         reset(stream);
     }
 }
 
-/// Answers what comes; whether the connection is to be reset at the end.
-async fn answer_all(stream: &mut TcpStream, registry: &Registry) -> bool {
+/// Answers what comes; whether the connection is to be reset at the end. Tells whose request it is at.
+async fn answer_all(stream: &mut TcpStream, registry: &Registry, current: &mut Option<String>) -> bool {
     let mut rest = Vec::new();
     loop {
         let Some(head) = read_head(stream, &mut rest).await else { return false };
@@ -195,6 +238,7 @@
         };
         // Nobody waits for it any more.
         let Some((plan, attempt)) = registry.attempt(id) else { return false };
+        *current = Some(id.to_owned());
         for step in plan.steps(id, attempt) {
             match play(stream, step).await {
                 Next::GoOn => {}
@@ -202,6 +246,7 @@
                 Next::Reset => return true,
             }
         }
+        *current = None;
     }
 }
 
