--- a/crates/stage/src/bin/sagemast-rig/answered.rs
+++ b/crates/stage/src/bin/sagemast-rig/answered.rs
@@ -5,6 +5,7 @@
 mod client;
 
 use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -41,6 +42,8 @@
 /// On a starved core the daemon is stopped and goes on in turns of this length: signals, no change of priorities or limits.
 const STARVED_STOP: Duration = Duration::from_millis(90);
 const STARVED_RUN: Duration = Duration::from_millis(10);
+/// The rig looks this often whether it is held up itself.
+const OWN_DELAY_EVERY: Duration = Duration::from_millis(10);
 /// Descriptors and memory of an instance: its connections are not what is scarce here.
 const LIMITS: &str = "sockets = 200\nmemory_mb = 32\n";
 
@@ -154,6 +157,25 @@
     }
 }
 
+/// How long this process itself was held up at worst, in milliseconds: what a busy machine adds to what clients see.
+#[derive(Default)]
+struct OwnDelay(AtomicU64);
+
+impl OwnDelay {
+    async fn watch(self: Arc<OwnDelay>) {
+        loop {
+            let due = Instant::now() + OWN_DELAY_EVERY;
+            sleep_until(due).await;
+            self.0.fetch_max(due.elapsed().as_millis() as u64, Ordering::Relaxed);
+        }
+    }
+
+    /// The worst since this was last asked.
+    fn take(&self) -> f64 {
+        self.0.swap(0, Ordering::Relaxed) as f64
+    }
+}
+
 /// Upstreams in all zones.
 struct Upstreams {
     registry: Arc<Registry>,
@@ -196,9 +218,25 @@
     file
 }
 
-/// Plays the phases. Cores that the daemon used in each, in the last round.
-async fn play(schedule: &Schedule, begun: Instant, upstreams: &Upstreams, daemon: &Daemon) -> [f64; 4] {
-    let mut cores = [0.0; PHASES.len()];
+/// What a phase cost.
+#[derive(Debug, Clone, Copy, Default)]
+struct Cost {
+    /// Cores that the daemon used, in the last round.
+    cores: f64,
+    /// How long the rig was held up, in milliseconds, at worst over all rounds.
+    own_delay_ms: f64,
+}
+
+/// Plays the phases; what each cost.
+async fn play(
+    schedule: &Schedule,
+    begun: Instant,
+    upstreams: &Upstreams,
+    daemon: &Daemon,
+) -> [Cost; PHASES.len()] {
+    let own_delay = Arc::new(OwnDelay::default());
+    let watch = tokio::spawn(own_delay.clone().watch());
+    let mut costs = [Cost::default(); PHASES.len()];
     for (number, (from, phase)) in schedule.begins().into_iter().enumerate() {
         let (begin, end) = (begun + from, begun + from + schedule.phases[phase]);
         sleep_until(begin).await;
@@ -212,9 +250,12 @@
         }
         sleep_until(end).await;
         let used = usage(daemon.pid()).cpu.saturating_sub(used);
-        cores[phase] = used.as_secs_f64() / schedule.phases[phase].as_secs_f64();
+        let cost = &mut costs[phase];
+        cost.cores = used.as_secs_f64() / schedule.phases[phase].as_secs_f64();
+        cost.own_delay_ms = cost.own_delay_ms.max(own_delay.take());
     }
-    cores
+    watch.abort();
+    costs
 }
 
 pub async fn run(program: &Path, short: bool) -> Result<Report, String> {
@@ -235,16 +276,16 @@
         loads.spawn(load(client.clone(), number, begun, schedule.clone()));
         clients.push(client);
     }
-    let cores = play(&schedule, begun, &upstreams, &daemon).await;
+    let costs = play(&schedule, begun, &upstreams, &daemon).await;
     while loads.join_next().await.is_some() {}
     drop(daemon);
     let _ = std::fs::remove_dir_all(&file.folder);
     let surplus = clients.iter().map(|client| client.surplus()).sum();
     let book = book.lock().unwrap_or_else(PoisonError::into_inner);
-    Ok(told(&book, surplus, cores))
+    Ok(told(&book, surplus, costs))
 }
 
-fn told(book: &Book, surplus: u64, cores: [f64; PHASES.len()]) -> Report {
+fn told(book: &Book, surplus: u64, costs: [Cost; PHASES.len()]) -> Report {
     let audit = &book.audit;
     let count = |outcome| audit.count(outcome) as f64;
     let (torn, stalled) = (count(Outcome::Torn), count(Outcome::Stalled));
@@ -269,14 +310,15 @@
     report.bound("not what an upstream made", count(Outcome::Wrong), 0.0);
     report.bound("bytes behind an answer", surplus as f64, 0.0);
     report.bound("none whole", f64::from(u8::from(count(Outcome::Whole) == 0.0)), 0.0);
-    let phases = PHASES.iter().zip(&book.honest).zip(cores).zip(&book.breaches);
-    for (((phase, (asked, times)), cores), breaches) in phases {
+    let phases = PHASES.iter().zip(&book.honest).zip(costs).zip(&book.breaches);
+    for (((phase, (asked, times)), cost), breaches) in phases {
         report.figure(&format!("{phase}: honest whole"), times.len() as f64 / (*asked as f64));
         for (quantile, name) in [(0.5, "p50"), (0.99, "p99")] {
             let ms = times.value_at_quantile(quantile) as f64 / 1e3;
             report.figure(&format!("{phase}: honest {name} ms"), ms);
         }
-        report.figure(&format!("{phase}: cores used"), cores);
+        report.figure(&format!("{phase}: cores used"), cost.cores);
+        report.figure(&format!("{phase}: rig held up ms"), cost.own_delay_ms);
         report.figure(&format!("{phase}: cases that break a bound"), *breaches as f64);
     }
     audit.explanations().into_iter().for_each(|line| report.note(line));
