A cold server's allowance is capped by what warm servers are known to carry

The capacity by which cold.rs sets an allowance is now at most what lets rate and savings of one window together come to what warm servers carry for their weight: throughput over utilisation, from own answers (carried.rs). Neither queues nor a wrong number of sidecars nor a wrong service time is in it.

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -503,6 +503,10 @@
 
     /// Brings the subset into line with the traffic and with what has become of its members.
     fn know(&mut self) {
+        if self.seen.carried.is_due(self.now) {
+            let warm = self.upstreams.warm_members(self.now, &self.settings.safety);
+            self.seen.carried.review(self.now, warm);
+        }
         let wanted = self.size.wanted(self.now, self.upstreams.serving(), self.settings.sidecars);
         if self.upstreams.is_settled(wanted, self.now) {
             return;
@@ -733,6 +737,7 @@
             return;
         };
         self.tell_of_zone(id, outcome);
+        self.carried(id, &sent, outcome);
         let law = &mut self.seen.service[sent.class.0].law;
         let silent = known.map_or(0.0, |known| known.silent(law, latency));
         let mute = known.is_some_and(|known| !known.answers && latency >= MUTE * known.crowd * known.wait);
@@ -770,6 +775,15 @@
         self.upstreams.forget_gone(id);
     }
 
+    /// Counts what a warm server has done of an attempt that has ended.
+    fn carried(&mut self, id: UpstreamId, sent: &Outstanding, outcome: Outcome) {
+        let warm = self.upstreams.get(id).is_some_and(|u| u.warmth(self.now, &self.settings.safety) >= 1.0);
+        if warm {
+            let answered = f64::from(u8::from(outcome == Outcome::Ok));
+            self.seen.carried.ended(self.now, answered * self.seen.service[sent.class.0].time);
+        }
+    }
+
     /// An answer tells the class's service time and this server's pace, with the queue taken out; a time-out
     /// tells that the server is at least this slow.
     fn learn(&mut self, id: UpstreamId, sent: Outstanding, latency: Millis, answered: bool) {
--- a/crates/decide/src/cold.rs
+++ b/crates/decide/src/cold.rs
@@ -36,7 +36,17 @@
     /// What all sidecars together may send a server while it is cold, in cores.
     fn allowance(&self, upstream: &Upstream) -> f64 {
         let safety = &self.settings.safety;
-        safety.fall_multiple * upstream.warmth(self.now, safety) * self.kappa(upstream)
+        safety.fall_multiple * upstream.warmth(self.now, safety) * self.cold_capacity(upstream)
+    }
+
+    /// The capacity that a cold server will have, in cores: what its reports and those of its kind say, but no more than lets
+    /// all that may be sent in one window come to what warm servers are known to carry for their weight.
+    fn cold_capacity(&self, upstream: &Upstream) -> f64 {
+        let reported = self.kappa(upstream);
+        let known = self.upstreams.size(Reach::Members).1 as f64 / self.upstreams.serving().max(1) as f64;
+        let traffic = f64::from(self.settings.sidecars.max(1)) * known.min(1.0);
+        let carried = self.seen.carried.capacity(self.now, upstream.weight, traffic);
+        carried.map_or(reported, |carried| reported.min(carried / (COLD_RATE + COLD_SAVED)))
     }
 
     /// How a server stands for this sidecar.
--- a/crates/decide/src/fleet.rs
+++ b/crates/decide/src/fleet.rs
@@ -8,6 +8,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::api::*;
+use crate::carried::WarmServers;
 use crate::state::{Health, Means, Upstream};
 use crate::subset::Order;
 
@@ -312,6 +313,22 @@
         self.kinds.contains_key(&kind)
     }
 
+    /// The members that take part and have warmed up.
+    pub fn warm_members(&self, now: Millis, safety: &Safety) -> WarmServers {
+        let members = self.entries.iter().flatten().filter(|entry| entry.member && entry.server.serving);
+        let ready = members.filter(|entry| entry.server.health == Health::Ready);
+        let warm = ready.filter(|entry| entry.server.warmth(now, safety) >= 1.0);
+        let (mut weight, mut reports, mut utilisations) = (0.0, 0.0, 0.0);
+        for entry in warm {
+            weight += entry.server.weight;
+            if let Some(utilisation) = entry.server.utilisation.filter(|_| entry.server.is_heard) {
+                reports += 1.0;
+                utilisations += utilisation;
+            }
+        }
+        WarmServers { weight, utilisation: if reports > 0.0 { utilisations / reports } else { 1.0 } }
+    }
+
     /// How many can be drawn from within a reach: that take part, and in all.
     pub fn size(&self, reach: Reach) -> (usize, usize) {
         let group = self.groups.get(&reach);
--- a/crates/decide/src/learnt.rs
+++ b/crates/decide/src/learnt.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::api::*;
+use crate::carried::Carried;
 use crate::giving_up::{Law, Silence};
 use crate::state::Upstream;
 use crate::throttle::Throttle;
@@ -128,6 +129,8 @@
     pub retry_tokens: f64,
     /// How often servers were silent of late.
     pub silence: Silence,
+    /// What warm servers carry.
+    pub carried: Carried,
     /// Room shrinks to this share of the usual while answers are late.
     pub room_scale: f64,
     /// Worth per service time of the mean arrival.
@@ -157,6 +160,7 @@
             refused: 0.0,
             retry_tokens,
             silence: Silence::default(),
+            carried: Carried::default(),
             room_scale: 1.0,
             usual_density: None,
             tenant_shares: vec![0.0; tenants],
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod api;
 pub mod brain;
+mod carried;
 mod cold;
 pub mod crossing;
 mod fleet;
