What warm servers carry is divided among all of them, not by a share of the members

The first form of the cap scaled a sidecar's own answers by the share of serving servers that it knows, cold ones included: amid a release, where the cold that it does not own are no members, the cap was low by the share of servers that are cold. All sidecars together send to all warm servers, so the divisor is the weight of all warm ones.

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -504,7 +504,7 @@
     /// Brings the subset into line with the traffic and with what has become of its members.
     fn know(&mut self) {
         if self.seen.carried.is_due(self.now) {
-            let warm = self.upstreams.warm_members(self.now, &self.settings.safety);
+            let warm = self.upstreams.warm_servers(self.now, &self.settings.safety);
             self.seen.carried.review(self.now, warm);
         }
         let wanted = self.size.wanted(self.now, self.upstreams.serving(), self.settings.sidecars);
--- a/crates/decide/src/carried.rs
+++ b/crates/decide/src/carried.rs
@@ -18,7 +18,7 @@
 /// No server is smaller than one core.
 const LEAST_CAPACITY: f64 = 1.0;
 
-/// The warm servers that a sidecar sends to.
+/// All warm servers, whether or not this sidecar sends to them: each sidecar sends to some, all together to all.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct WarmServers {
     /// The sum of their listed weights.
@@ -67,14 +67,14 @@
         (self.warm, self.reviewed_at) = (WarmServers { utilisation, ..warm }, now);
     }
 
-    /// The capacity in cores of a server of this listed weight, where so many times this sidecar's own traffic reach it;
-    /// `None` while too little is known.
-    pub fn capacity(&self, now: Millis, weight: f64, traffic: f64) -> Option<f64> {
+    /// The capacity in cores of a server of this listed weight, where so many sidecars like this one use the servers; `None`
+    /// while too little is known.
+    pub fn capacity(&self, now: Millis, weight: f64, sidecars: f64) -> Option<f64> {
         let kept = self.kept(now);
         if self.warm.weight <= 0.0 || self.ended * kept < EVIDENCE {
             return None;
         }
-        let throughput = self.answered * kept / SPAN * traffic * weight / self.warm.weight;
+        let throughput = self.answered * kept / SPAN * sidecars * weight / self.warm.weight;
         Some((throughput / self.warm.utilisation.clamp(LEAST_USED, 1.0)).max(LEAST_CAPACITY))
     }
 
--- a/crates/decide/src/cold.rs
+++ b/crates/decide/src/cold.rs
@@ -43,9 +43,8 @@
     /// all that may be sent in one window come to what warm servers are known to carry for their weight.
     fn cold_capacity(&self, upstream: &Upstream) -> f64 {
         let reported = self.kappa(upstream);
-        let known = self.upstreams.size(Reach::Members).1 as f64 / self.upstreams.serving().max(1) as f64;
-        let traffic = f64::from(self.settings.sidecars.max(1)) * known.min(1.0);
-        let carried = self.seen.carried.capacity(self.now, upstream.weight, traffic);
+        let sidecars = f64::from(self.settings.sidecars.max(1));
+        let carried = self.seen.carried.capacity(self.now, upstream.weight, sidecars);
         carried.map_or(reported, |carried| reported.min(carried / (COLD_RATE + COLD_SAVED)))
     }
 
--- a/crates/decide/src/fleet.rs
+++ b/crates/decide/src/fleet.rs
@@ -313,10 +313,10 @@
         self.kinds.contains_key(&kind)
     }
 
-    /// The members that take part and have warmed up.
-    pub fn warm_members(&self, now: Millis, safety: &Safety) -> WarmServers {
-        let members = self.entries.iter().flatten().filter(|entry| entry.member && entry.server.serving);
-        let ready = members.filter(|entry| entry.server.health == Health::Ready);
+    /// All servers that take part and have warmed up, members or not.
+    pub fn warm_servers(&self, now: Millis, safety: &Safety) -> WarmServers {
+        let serving = self.entries.iter().flatten().filter(|entry| entry.server.serving);
+        let ready = serving.filter(|entry| entry.server.health == Health::Ready);
         let warm = ready.filter(|entry| entry.server.warmth(now, safety) >= 1.0);
         let (mut weight, mut reports, mut utilisations) = (0.0, 0.0, 0.0);
         for entry in warm {
