--- a/crates/cli/tests/answers_reach_clients.rs
+++ b/crates/cli/tests/answers_reach_clients.rs
@@ -401,29 +401,6 @@
 /// receiver may put off by 40 ms.
 #[test]
 fn small_pieces_of_an_answer_are_not_held_back() {
-    const PIECES: usize = 120;
-    const HELD_BACK: Duration = Duration::from_millis(20);
-    let epoch = Instant::now();
-    let upstream = Upstream::new(move |_| {
-        Deed::play(move |stream| {
-            stream.set_nodelay(true).unwrap();
-            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-            // A short one would be held until it is whole.
-            if chunk(stream, &[b'x'; HELD_ANSWER_BYTES + 1]).is_err() {
-                return false;
-            }
-            for _ in 0..PIECES {
-                // Two small ones in a row: the second is the one that would wait.
-                for _ in 0..2 {
-                    let at = format!("{:016}", epoch.elapsed().as_micros());
-                    if chunk(stream, at.as_bytes()).is_err() {
-                        return false;
-                    }
-                    std::thread::sleep(Duration::from_millis(2));
-                }
-                std::thread::sleep(Duration::from_millis(3));
-            }
-            stream.write_all(b"0\r\n\r\n").is_ok()
     const ROUNDS: usize = 30;
     const LONG_BYTES: usize = HELD_ANSWER_BYTES + 1;
     const PIECES: usize = 3;
@@ -447,22 +424,6 @@
     });
     let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
     let mut client = Client::to(sidecar.address);
-    client.send("fetch", 6_000);
-    let mut delays = Vec::new();
-    let mut room = [0; 4_096];
-    while delays.len() < PIECES {
-        let read = client.reader.get_mut().read(&mut room).unwrap();
-        assert!(read > 0, "it goes on");
-        let text = String::from_utf8_lossy(&room[..read]);
-        let stamps = text.split("\r\n").filter(|line| line.len() == 16);
-        let oldest = stamps.filter_map(|stamp| stamp.parse::<u64>().ok()).min();
-        delays.extend(oldest.map(|at| epoch.elapsed().saturating_sub(Duration::from_micros(at))));
-    }
-    // The first ones come behind the long piece.
-    let mut late = delays.split_off(PIECES / 2);
-    late.sort_unstable();
-    let median = late[late.len() / 2];
-    assert!(median < HELD_BACK, "half of the pieces took {median:?} or longer");
     let mut times: Vec<Duration> = (0..ROUNDS)
         .map(|_| {
             // A client that asks and is answered acknowledges with what it sends next.
