An answer that dribbles is held on: only what comes at the pace of long ones is passed on

Whether an answer may be long is now told by its pace as well (32 KiB/s, half of the slowest honest peer's, one pause apart). The tests that need an answer under way begin it at that pace; the dribbling one now asks for a whole failure in time where it asked for a torn answer in time, which is more.

--- a/crates/cli/tests/answers.rs
+++ b/crates/cli/tests/answers.rs
@@ -27,6 +27,17 @@
     }
 }
 
+/// Begins a close-delimited answer at the pace of a long one, so that it is passed on, and goes on in small pieces.
+fn begin_as_long(stream: &mut TcpStream, pieces: usize) {
+    dribble(stream, &[b'x'; 30_000], 2, Duration::from_millis(10));
+    for _ in 0..pieces {
+        std::thread::sleep(Duration::from_millis(50));
+        if stream.write_all(b"0123456789").is_err() {
+            return;
+        }
+    }
+}
+
 /// Reads one chunked answer to the end of its connection; its bytes, and whether its last chunk came.
 fn read_all(client: &mut Client) -> (String, bool) {
     let bytes = client.read_to_close().expect("the connection ends");
@@ -77,7 +88,7 @@
     let upstream = Upstream::new(|_| {
         Deed::play(|stream| {
             // On its way for longer than any is held; then the upstream is silent with its connection open.
-            dribble(stream, b"0123456789", 35, Duration::from_millis(50));
+            begin_as_long(stream, 35);
             std::thread::sleep(Duration::from_secs(20));
             false
         })
@@ -96,9 +107,9 @@
     }
 }
 
-/// An answer that never ends and hardly comes is no long one.
+/// An answer that never ends and hardly comes is no long one: its client is told in time that there is none.
 #[test]
-fn an_answer_that_dribbles_without_end_ends_within_the_limit_of_late_answers() {
+fn an_answer_that_dribbles_without_end_fails_whole_and_in_time() {
     let upstream = Upstream::new(|_| {
         Deed::play(|stream| {
             dribble(stream, b"x", 200, Duration::from_millis(50));
@@ -108,9 +119,10 @@
     let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
     let mut client = Client::to(sidecar.address);
     let start = Instant::now();
-    client.write(request("fetch", 2_000).as_bytes());
-    let (_, whole) = read_all(&mut client);
-    assert!(!whole && start.elapsed() < Duration::from_millis(2_000) + LATE_LIMIT, "{:?}", start.elapsed());
+    client.send("fetch", 2_000);
+    let answer = client.read().expect("a whole answer");
+    assert!([502, 503].contains(&answer.status()), "{}", answer.line);
+    assert!(start.elapsed() < Duration::from_millis(2_000) + LATE_LIMIT, "{:?}", start.elapsed());
 }
 
 /// A long answer is timed by its first bytes: they are not held for 2 s, and once one was long they come by the aim. All of
@@ -143,9 +155,7 @@
 /// Who can tell the end of an answer only by the end of its connection must not take a torn one for whole.
 #[test]
 fn a_torn_answer_does_not_look_whole_to_a_client_of_http_1_0() {
-    let upstream = Upstream::new(|_| {
-        Deed::play_and_reset(|stream| dribble(stream, b"0123456789", 40, Duration::from_millis(50)))
-    });
+    let upstream = Upstream::new(|_| Deed::play_and_reset(|stream| begin_as_long(stream, 40)));
     let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
     let mut stream = TcpStream::connect(sidecar.address).unwrap();
     stream.set_read_timeout(Some(FOREVER)).unwrap();
@@ -153,7 +163,8 @@
     let mut answer = Vec::new();
     let read = stream.read_to_end(&mut answer);
     let text = String::from_utf8_lossy(&answer);
-    assert!(read.is_err() || text.contains(" 502 "), "{read:?}: {text}");
+    assert!(text.starts_with("HTTP/1.0 200 "), "it was passed on: {read:?}, {} bytes", answer.len());
+    assert!(read.is_err(), "{} bytes that look whole", answer.len());
 }
 
 /// Guards against a close without a byte: on a connection that was used before, a client takes it for an idle one that was
--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -831,6 +831,7 @@
     pub fn with_receive_buffer(address: SocketAddr, bytes: usize) -> Client {
         let stream = connect_with_receive_buffer(address, bytes);
         // Reads no further ahead than that, either.
-        Client { reader: BufReader::with_capacity(bytes, stream), asked: VecDeque::new() }
+        let reader = BufReader::with_capacity(bytes, stream);
+        Client { reader, asked: VecDeque::new(), answered: None, is_raw: false }
     }
 }
--- a/crates/sidecar/src/transfer/answer_hold.rs
+++ b/crates/sidecar/src/transfer/answer_hold.rs
@@ -8,6 +8,8 @@
 
 use tokio::time::Instant;
 
+use super::limits::LEAST_RATE;
+
 /// Every answer of unknown length is held for this long, in the memory that its connection has in any case.
 pub const SHORT_HOLD: Duration = Duration::from_millis(100);
 /// None is held for longer: to hold a long answer back for 2 s is to lose it.
@@ -47,18 +49,21 @@
 /// At which pace the pieces of one answer come.
 #[derive(Debug, Clone, Copy)]
 pub struct Pace {
+    head_at: Instant,
     last_at: Instant,
+    bytes: u64,
     longest_gap: Option<Duration>,
 }
 
 impl Pace {
     /// Of an answer whose head came then.
     pub fn new(head_at: Instant) -> Pace {
-        Pace { last_at: head_at, longest_gap: None }
+        Pace { head_at, last_at: head_at, bytes: 0, longest_gap: None }
     }
 
     /// A piece of its body has come.
-    pub fn piece(&mut self, now: Instant) {
+    pub fn piece(&mut self, now: Instant, bytes: usize) {
+        self.bytes += bytes as u64;
         let gap = now.saturating_duration_since(self.last_at);
         self.longest_gap = Some(self.longest_gap.map_or(gap, |longest| longest.max(gap)));
         self.last_at = now;
@@ -70,6 +75,13 @@
         let silent_for = now.saturating_duration_since(self.last_at);
         self.longest_gap.is_some_and(|longest| silent_for <= longest * GAPS_ALLOWED)
     }
+
+    /// Whether it comes as fast as long answers do, one pause apart. One that dribbles is short, or of no use to anyone.
+    pub fn may_be_long(&self, now: Instant) -> bool {
+        let pause = self.longest_gap.unwrap_or_default();
+        let coming_for = now.saturating_duration_since(self.head_at).saturating_sub(pause);
+        self.bytes as f64 >= LEAST_RATE as f64 * coming_for.as_secs_f64()
+    }
 }
 
 /// What the answers of unknown length turned out to be, shared by all attempts of an instance. Those that were whole within
--- a/crates/sidecar/src/transfer/answer_hold/tests.rs
+++ b/crates/sidecar/src/transfer/answer_hold/tests.rs
@@ -54,11 +54,31 @@
     let head_at = Instant::now();
     let mut pace = Pace::new(head_at);
     assert!(!pace.is_coming(head_at + ms(1)), "nothing has come yet");
-    pace.piece(head_at);
+    pace.piece(head_at, 1);
     assert!(!pace.is_coming(head_at + ms(50)), "all of it came with its head");
-    pace.piece(head_at + ms(40));
+    pace.piece(head_at + ms(40), 1);
     assert!(pace.is_coming(head_at + ms(120)));
     assert!(!pace.is_coming(head_at + ms(121)));
-    pace.piece(head_at + ms(300));
+    pace.piece(head_at + ms(300), 1);
     assert!(pace.is_coming(head_at + ms(700)));
 }
+
+#[test]
+fn an_answer_that_dribbles_is_not_taken_for_a_long_one_and_a_pause_is_forgiven() {
+    let head_at = Instant::now();
+    // 40 KiB/s and 4 KiB/s, a piece every 50 ms.
+    for (piece, is_long) in [(2 << 10, true), (200, false)] {
+        let mut pace = Pace::new(head_at);
+        for number in 1..=20 {
+            pace.piece(head_at + ms(50 * number), piece);
+        }
+        assert_eq!(pace.may_be_long(head_at + ms(1_000)), is_long, "{piece}");
+    }
+    // All at its pace but for one pause of a second.
+    let mut pace = Pace::new(head_at);
+    for number in 1..=10 {
+        pace.piece(head_at + ms(50 * number), 2 << 10);
+    }
+    pace.piece(head_at + ms(1_500), 2 << 10);
+    assert!(pace.may_be_long(head_at + ms(1_500)));
+}
--- a/crates/sidecar/src/transfer/limits.rs
+++ b/crates/sidecar/src/transfer/limits.rs
@@ -14,7 +14,7 @@
 /// A body must be whole this long after its head,
 const BODY: Duration = Duration::from_millis(2_300);
 /// and as long as its bytes take at this rate a second: half of what the slowest honest client sends.
-const LEAST_RATE: u64 = 32 << 10;
+pub const LEAST_RATE: u64 = 32 << 10;
 /// A transfer under way in which nothing moves for this long has ended.
 pub const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// When a body that has come so far must be whole, or have brought more.
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -91,7 +91,9 @@
             if self.lengthen() {
                 continue;
             }
-            if self.pace.is_coming(Instant::now()) {
+            let now = Instant::now();
+            // Without room it goes on as it comes, whatever it may be.
+            if self.pace.is_coming(now) && (self.room.is_none() || self.pace.may_be_long(now)) {
                 return;
             }
             std::future::pending::<()>().await;
@@ -159,11 +161,11 @@
             Some(Ok(frame)) => {
                 // Trailers end with the connection that they came on.
                 if let Ok(data) = frame.into_data() {
+                    if let Some(hold) = &mut hold {
+                        hold.pace.piece(Instant::now(), data.len());
+                    }
                     gathered.add(data, length);
                 }
-                if let Some(hold) = &mut hold {
-                    hold.pace.piece(Instant::now());
-                }
             }
             Some(Err(_)) => return Err(Broken::Cut),
         }
