--- a/crates/cli/src/sidecar.rs
+++ b/crates/cli/src/sidecar.rs
@@ -13,7 +13,6 @@
 use sagemast_sidecar::config::Config;
 use sagemast_sidecar::console::Console;
 use sagemast_sidecar::crossing::Crossing;
-use sagemast_sidecar::division::Division;
 use sagemast_sidecar::driver::Told;
 use sagemast_sidecar::front;
 use sagemast_sidecar::handover::{self, Elder, Hold, Place};
@@ -21,7 +20,8 @@
 use sagemast_sidecar::instance::{Control, Drain, Ended, Instance, Parts};
 use sagemast_sidecar::log::Log;
 use sagemast_sidecar::messages::Outlet;
-use sagemast_sidecar::silence;
+use sagemast_sidecar::resource_limits::ResourceLimits;
+use sagemast_sidecar::watch_liveness;
 
 /// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
 const STILL_COMING: Duration = Duration::from_millis(550);
@@ -74,7 +74,7 @@
         None => None,
     };
     let sidecars = config.settings.settings().sidecars;
-    let Division { connections, transfers } = config.division()?;
+    let ResourceLimits { connections, transfers } = config.resource_limits()?;
     let held = Budgets::with(connections, transfers);
     log.line(format!("listening on {address}"));
     let (instance, control) = Instance::new(Parts {
@@ -95,7 +95,7 @@
     let succession =
         place.map(|place| handover::run(place, elder, control.clone(), held, sidecars, log.clone()));
     // One that has no list at all by then says so to whoever comes.
-    let waits = silence::first(Duration::from_secs_f64(config.settings.shortest_aim_ms() / 1e3));
+    let waits = watch_liveness::first(Duration::from_secs_f64(config.settings.shortest_aim_ms() / 1e3));
     let started = Instant::now();
     let mut opens = (!shared).then_some(started + waits);
     let mut running = tokio::spawn(instance.run());
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -248,11 +248,11 @@
         let life = view.generation.and_then(|generation| self.lives.get(&generation));
         let generations = view.generation.iter().chain(&view.successor).chain(&view.draining);
         let lives = generations.filter_map(|generation| self.lives.get(generation));
-        let open = lives.map(|life| life.control.vitals().all().open()).sum();
-        let count = |of: fn(&sagemast_sidecar::vitals::Vitals) -> &std::sync::atomic::AtomicU64| {
-            life.map_or(0, |life| of(life.control.vitals()).load(Ordering::Relaxed))
+        let open = lives.map(|life| life.control.metrics().all().open()).sum();
+        let count = |of: fn(&sagemast_sidecar::metrics::Metrics) -> &std::sync::atomic::AtomicU64| {
+            life.map_or(0, |life| of(life.control.metrics()).load(Ordering::Relaxed))
         };
-        let counts = life.map(|life| life.control.vitals().all()).unwrap_or_default();
+        let counts = life.map(|life| life.control.metrics().all()).unwrap_or_default();
         let spec = view.spec.as_ref();
         let address = spec.and_then(|spec| self.listeners.address(&spec.place()));
         Instance {
@@ -270,9 +270,9 @@
             refused: counts.refused,
             failed: counts.failed,
             left: counts.left,
-            sends: count(|vitals| &vitals.sends),
-            upstreams: count(|vitals| &vitals.upstreams),
-            seq: count(|vitals| &vitals.seq),
+            sends: count(|metrics| &metrics.sends),
+            upstreams: count(|metrics| &metrics.upstreams),
+            seq: count(|metrics| &metrics.seq),
             connections: self.grants.held(&view.name),
             failures: view.failures,
             retry_in_ms: view.retry_at.map(|at| at.saturating_sub(self.now())),
@@ -299,7 +299,7 @@
             uptime_ms: self.now(),
             phase: self.succession.phase().word().to_owned(),
             instances,
-            open: self.lives.values().map(|life| life.control.vitals().all().open()).sum(),
+            open: self.lives.values().map(|life| life.control.metrics().all().open()).sum(),
             workers: workers.collect(),
             memory_mb: [taken.memory_mb, budget.memory_mb],
             descriptors: [taken.descriptors, budget.descriptors],
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -6,8 +6,8 @@
 use sagemast_decide::settings::Config as SettingsObject;
 use serde::Deserialize;
 
-use crate::division::{Division, divide};
 use crate::hosts::HostList;
+use crate::resource_limits::{ResourceLimits, divide};
 
 /// The configuration file.
 #[derive(Deserialize)]
@@ -104,7 +104,7 @@
     }
 
     /// What there is for connections and long bodies.
-    pub fn division(&self) -> Result<Division> {
+    pub fn resource_limits(&self) -> Result<ResourceLimits> {
         divide(&self.limits, self.console.is_some(), self.processes).map_err(anyhow::Error::msg)
     }
 
@@ -178,10 +178,10 @@
     #[test]
     fn a_minimal_configuration_is_enough() {
         let config = Config::parse(MINIMAL.as_bytes()).expect("it holds all that is needed");
-        assert_eq!(config.division().unwrap().connections, 500);
+        assert_eq!(config.resource_limits().unwrap().connections, 500);
         let scarce =
             Config::parse(MINIMAL.replace("{\"listen", "{\"limits\":{\"memory_mb\":16},\"listen").as_bytes());
-        assert_eq!(scarce.unwrap().division().unwrap().connections, 53, "memory binds before sockets");
+        assert_eq!(scarce.unwrap().resource_limits().unwrap().connections, 53, "memory binds before sockets");
         assert!(config.known.is_none());
     }
 
--- a/crates/sidecar/src/console.rs
+++ b/crates/sidecar/src/console.rs
@@ -28,8 +28,8 @@
 use crate::instance::Control;
 use crate::lifecycle::Stage;
 use crate::log::Log;
+use crate::metrics::Metrics;
 use crate::slot::Slot;
-use crate::vitals::Vitals;
 
 /// Callers at one time. Who comes when all places are taken gets that of the oldest caller that has not asked yet, or
 /// else of the oldest.
@@ -167,7 +167,7 @@
     }
     match path {
         "/api/ready" => {
-            let listed = control.vitals().ready.load(Ordering::Acquire);
+            let listed = control.metrics().ready.load(Ordering::Acquire);
             match control.life().stage() {
                 Stage::Serving | Stage::Evacuating if listed => said(StatusCode::OK, "yes"),
                 Stage::Standby | Stage::Serving | Stage::Evacuating => {
@@ -178,7 +178,7 @@
                 }
             }
         }
-        "/api/telemetry" => figures(control.vitals()),
+        "/api/telemetry" => figures(control.metrics()),
         "/api/evacuate" => {
             control.evacuate();
             said(StatusCode::OK, "yes: clients are sent away")
@@ -209,7 +209,7 @@
 }
 
 /// By class, in the order of the settings.
-struct Handled<'a>(&'a Vitals);
+struct Handled<'a>(&'a Metrics);
 
 #[derive(Serialize)]
 struct OfClass {
@@ -230,14 +230,14 @@
     }
 }
 
-fn figures(vitals: &Vitals) -> Response<Full<Bytes>> {
+fn figures(metrics: &Metrics) -> Response<Full<Bytes>> {
     let figures = Figures {
-        in_progress: vitals.all().open(),
-        handled: Handled(vitals),
-        upstream_tries: vitals.sends.load(Ordering::Acquire),
-        known_upstreams: vitals.upstreams.load(Ordering::Relaxed),
-        skipped_upstreams: vitals.skipped.load(Ordering::Relaxed),
-        unheld_answers: vitals.unheld_answers.load(Ordering::Relaxed),
+        in_progress: metrics.all().open(),
+        handled: Handled(metrics),
+        upstream_tries: metrics.sends.load(Ordering::Acquire),
+        known_upstreams: metrics.upstreams.load(Ordering::Relaxed),
+        skipped_upstreams: metrics.skipped.load(Ordering::Relaxed),
+        unheld_answers: metrics.unheld_answers.load(Ordering::Relaxed),
     };
     match serde_json::to_vec(&figures) {
         Ok(text) => {
--- a/crates/sidecar/src/counted.rs
+++ b/crates/sidecar/src/counted.rs
@@ -16,11 +16,11 @@
 
 use crate::calls;
 use crate::execution::Written;
+use crate::metrics::Metrics;
 use crate::presence::{self, Found, Terms};
 use crate::transfer::framing::Framing;
 use crate::transfer::limits::STREAM_IDLE_TIMEOUT;
 use crate::transfer::patience::Patience;
-use crate::vitals::Vitals;
 
 /// What has crossed a connection. hyper owns the stream, so this is shared with it.
 pub struct Meter {
@@ -50,7 +50,7 @@
     terms: Option<Terms>,
     unwanted: bool,
     /// Where an attempt is counted and the gaps in its answer are told; a probe is neither.
-    told: Option<(Arc<Vitals>, Arc<Patience>)>,
+    told: Option<(Arc<Metrics>, Arc<Patience>)>,
 }
 
 impl Default for Meter {
@@ -111,7 +111,7 @@
     }
 
     /// An exchange begins. What an earlier one left is forgotten.
-    pub fn begin(&self, told: Option<(Arc<Vitals>, Arc<Patience>)>, terms: Option<Terms>) {
+    pub fn begin(&self, told: Option<(Arc<Metrics>, Arc<Patience>)>, terms: Option<Terms>) {
         *lock(&self.exchange) = Exchange { told, terms, ..Exchange::default() };
     }
 
@@ -162,9 +162,9 @@
         }
         if before == 0
             && exchange.framing.whole() > 0
-            && let Some((vitals, _)) = &exchange.told
+            && let Some((metrics, _)) = &exchange.told
         {
-            vitals.sends.fetch_add(1, Ordering::Release);
+            metrics.sends.fetch_add(1, Ordering::Release);
         }
     }
 
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -17,8 +17,8 @@
 use crate::hosts::HostList;
 use crate::log::Log;
 use crate::messages::Outlet;
-use crate::silence::{self, Times};
 use crate::values::{Next, Values};
+use crate::watch_liveness::{self, Times};
 
 /// The longest list: thousands of hosts, indented. A stream without an end must not fill the memory.
 const LIST_BYTES: usize = 2 << 20;
@@ -94,7 +94,7 @@
             if counted_since.replace(since) != Some(since) {
                 tries = 0;
             }
-            let Some(wait) = silence::again(since.elapsed(), tries, self.place) else { break };
+            let Some(wait) = watch_liveness::again(since.elapsed(), tries, self.place) else { break };
             tries += 1;
             sleep(wait).await;
         }
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -25,14 +25,14 @@
 use crate::lifecycle;
 use crate::log::Log;
 use crate::messages::{Arrival, End, Final, Flight, Forward, FromClients, Outlet};
+use crate::metrics::{Came, Metrics};
 use crate::presence::Terms;
 use crate::request_bound::{Deadline, RequestState, bound};
 use crate::servers::Servers;
-use crate::silence::{self, Times};
 use crate::transfer::outgoing::Outgoing;
 use crate::transfer::upload::Fate;
 use crate::upstream::{Common, FromUpstreams, Source, Wire, Writing, attempt, connect, probe};
-use crate::vitals::{Came, Vitals};
+use crate::watch_liveness::{self, Times};
 use crate::writing;
 
 /// Once its time to connect is over an attempt is written within this or not at all: the rest of a turn in which much else
@@ -169,7 +169,7 @@
     /// Budgets for traffic between zones, if there are any.
     pub crossing: Option<Crossing>,
     /// What it counts.
-    pub vitals: Arc<Vitals>,
+    pub metrics: Arc<Metrics>,
     /// Where it logs.
     pub log: Log,
     /// Whom it tells how it fares.
@@ -188,7 +188,7 @@
     aims: Vec<Option<Duration>>,
     subscribed: bool,
     sidecars: u32,
-    vitals: Arc<Vitals>,
+    metrics: Arc<Metrics>,
     log: Log,
     budgets: Budgets,
     listener: Outlet<Told>,
@@ -237,7 +237,7 @@
 impl Driver {
     /// A driver that knows the settings and nothing else, and the channel that leads to it.
     pub fn new(parts: Parts) -> (Driver, mpsc::UnboundedSender<Happening>) {
-        let Parts { settings, seed, discovery, budgets, crossing, vitals, log, listener, life } = parts;
+        let Parts { settings, seed, discovery, budgets, crossing, metrics, log, listener, life } = parts;
         let (happenings, inbox) = mpsc::unbounded_channel();
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let mut told = settings.settings();
@@ -247,7 +247,7 @@
         told.limits.tick = told.limits.tick.max(in_hand);
         // What discovery has to tell counts as told after that long, whatever else the settings allow.
         if let Discovery::Subscribed { must_ask_in } = &mut told.discovery {
-            *must_ask_in = must_ask_in.min(silence::TOLD.as_secs_f64() * 1e3);
+            *must_ask_in = must_ask_in.min(watch_liveness::TOLD.as_secs_f64() * 1e3);
         }
         let aims =
             told.classes.iter().map(|class| Duration::try_from_secs_f64(class.aim / 1e3).ok()).collect();
@@ -256,7 +256,7 @@
         Crossing::bring_into_force(crossing, &mut module, sidecars, 0.0);
         let common = Common {
             log: log.clone(),
-            vitals: vitals.clone(),
+            metrics: metrics.clone(),
             patience: Arc::default(),
             lengths: Arc::default(),
             transfers: budgets.transfers.clone(),
@@ -268,7 +268,7 @@
             columns: settings.columns(),
             aims,
             class_names: settings.classes().into_iter().map(|form| form.name).collect(),
-            vitals,
+            metrics,
             log,
             budgets,
             listener,
@@ -320,7 +320,7 @@
         }
         if !self.subscribed {
             self.watch();
-            let first = silence::first(Duration::from_secs_f64(self.settings.shortest_aim_ms() / 1e3));
+            let first = watch_liveness::first(Duration::from_secs_f64(self.settings.shortest_aim_ms() / 1e3));
             self.set_timer(Instant::now() + first, Timer::Current);
         }
         loop {
@@ -423,7 +423,7 @@
         }
         self.actions = actions;
         let skipped = self.module.avoided() + self.draining;
-        self.vitals.skipped.store(skipped as u64, Ordering::Relaxed);
+        self.metrics.skipped.store(skipped as u64, Ordering::Relaxed);
     }
 
     fn happened(&mut self, happening: Happening) {
@@ -433,7 +433,7 @@
                 if let Some(open) = self.close(request) {
                     self.log.trace(|| self.answer_line(&open, "none: its client has left"));
                     if open.timer.is_some() {
-                        self.vitals.ended(open.class, Came::Left);
+                        self.metrics.ended(open.class, Came::Left);
                     }
                 }
                 self.leave(request);
@@ -476,7 +476,7 @@
             FromUpstreams::Uploads(flight, fate) => self.uploads(flight, fate),
             FromUpstreams::Streamed { request, came } => {
                 if let Some(class) = self.streams.remove(&request) {
-                    self.vitals.ended(class, came);
+                    self.metrics.ended(class, came);
                 }
             }
             FromUpstreams::Idle { upstream, life, connection } => self.put_back(upstream, life, *connection),
@@ -574,7 +574,7 @@
         // A process that ends has no more time than that: who comes late is answered while it lasts.
         let process_ends = self.life.borrow().answer_by();
         let deadline = Deadline::new(at, open.time_left, process_ends);
-        self.vitals.taken(open.class);
+        self.metrics.taken(open.class);
         let timer = self.set_timer(bound(RequestState::Queued(deadline)).at, Timer::Backstop(request));
         if let Some(open) = self.open.get_mut(&request) {
             open.deadline = deadline;
@@ -631,15 +631,15 @@
         // What never came whole was no request, unless it got an upstream's answer or a refusal all the same.
         match (&answer, open.timer) {
             (Final::Rejected(_), None) => return open.reply.send(answer).is_ok(),
-            (_, None) => self.vitals.taken(open.class),
+            (_, None) => self.metrics.taken(open.class),
             (_, Some(_)) => {}
         }
         match &answer {
             // It is served when its last byte has passed.
             Final::Served(_, body) if body.is_stream() => drop(self.streams.insert(request, open.class)),
-            Final::Served(..) => self.vitals.ended(open.class, Came::Served),
-            Final::Refused(_) => self.vitals.ended(open.class, Came::Refused),
-            Final::Failed | Final::Rejected(_) => self.vitals.ended(open.class, Came::Failed),
+            Final::Served(..) => self.metrics.ended(open.class, Came::Served),
+            Final::Refused(_) => self.metrics.ended(open.class, Came::Refused),
+            Final::Failed | Final::Rejected(_) => self.metrics.ended(open.class, Came::Failed),
         }
         // The client may have gone in this very moment.
         open.reply.send(answer).is_ok()
@@ -917,7 +917,7 @@
 
     /// Tells that it is ready, once it is.
     fn tell_ready(&self) {
-        if self.has_list && self.current && !self.vitals.ready.swap(true, Ordering::Release) {
+        if self.has_list && self.current && !self.metrics.ready.swap(true, Ordering::Release) {
             self.listener.tell(Told::Ready);
         }
     }
@@ -929,8 +929,8 @@
         let whole = list.whole || restored;
         let now = self.millis(Instant::now());
         let listings = self.servers.take(list, whole, &self.settings, now, &self.log);
-        self.vitals.seq.store(self.seq, Ordering::Relaxed);
-        self.vitals.upstreams.store(self.servers.count() as u64, Ordering::Relaxed);
+        self.metrics.seq.store(self.seq, Ordering::Relaxed);
+        self.metrics.upstreams.store(self.servers.count() as u64, Ordering::Relaxed);
         self.draining = self.servers.draining();
         self.sweep_later();
         if !listings.is_empty() || (whole && !restored) {
--- a/crates/sidecar/src/driver/tests.rs
+++ b/crates/sidecar/src/driver/tests.rs
@@ -35,7 +35,7 @@
         discovery: dial,
         budgets: Budgets::of(8),
         crossing: None,
-        vitals: Arc::new(Vitals::new(std::iter::once("a"))),
+        metrics: Arc::new(Metrics::new(std::iter::once("a"))),
         log: Log::process(),
         listener: Outlet::nowhere(),
         life: lives,
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -32,6 +32,7 @@
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::log::Log;
 use crate::messages::{Arrival, Final, Forward, FromClients, Outlet};
+use crate::metrics::Metrics;
 use crate::request_bound::{RequestState, bound};
 use crate::slot::Slot;
 use crate::transfer::answer::Payload;
@@ -39,7 +40,6 @@
 use crate::transfer::limits::{HEAD, MOST_BYTES, WHOLE_BYTES};
 use crate::transfer::outgoing::Kept;
 use crate::transfer::upload::Upload;
-use crate::vitals::Vitals;
 
 /// Clients that connect while the sidecar starts or is busy wait here.
 const BACKLOG: u32 = 4096;
@@ -91,7 +91,7 @@
     /// Room for bodies that go on as they come.
     pub transfers: Room,
     /// Whether it is ready, and what was counted.
-    pub vitals: Arc<Vitals>,
+    pub metrics: Arc<Metrics>,
     /// For what goes wrong.
     pub log: Log,
     /// Ids for the module: those of clients come from outside and might come twice.
@@ -106,11 +106,11 @@
         told: Outlet<FromClients>,
         connections: Quota,
         transfers: Room,
-        vitals: Arc<Vitals>,
+        metrics: Arc<Metrics>,
         log: Log,
     ) -> Front {
         // The module keeps timer 0 for itself and halves request ids into timers.
-        Front { names, life, told, connections, transfers, vitals, log, next_id: AtomicU64::new(2) }
+        Front { names, life, told, connections, transfers, metrics, log, next_id: AtomicU64::new(2) }
     }
 }
 
@@ -412,7 +412,7 @@
 
 async fn handle(request: Request<Incoming>, front: &Front, slot: &Slot) -> Response<Payload> {
     if request.uri().path() == "/up" {
-        let ready = front.vitals.ready.load(Ordering::Relaxed);
+        let ready = front.metrics.ready.load(Ordering::Relaxed);
         return match (request.method() == Method::GET, front.life.borrow().up(), ready) {
             (false, ..) => plain(StatusCode::METHOD_NOT_ALLOWED, "use GET"),
             (true, true, true) => plain(StatusCode::OK, "up"),
--- a/crates/sidecar/src/front/tests.rs
+++ b/crates/sidecar/src/front/tests.rs
@@ -34,7 +34,7 @@
         told,
         budgets.clients.clone(),
         budgets.transfers.clone(),
-        Arc::new(Vitals::new(std::iter::once("a"))),
+        Arc::new(Metrics::new(std::iter::once("a"))),
         Log::process(),
     );
     (Arc::new(front), life)
--- a/crates/sidecar/src/instance.rs
+++ b/crates/sidecar/src/instance.rs
@@ -22,7 +22,7 @@
 use crate::lifecycle::{Lifecycle, Wish};
 use crate::log::Log;
 use crate::messages::{Final, FromClients, Outlet};
-use crate::vitals::Vitals;
+use crate::metrics::Metrics;
 
 pub use crate::lifecycle::Drain;
 
@@ -86,7 +86,7 @@
     life: Arc<watch::Sender<Lifecycle>>,
     /// Dropped with the last hold.
     _held: Arc<watch::Sender<()>>,
-    vitals: Arc<Vitals>,
+    metrics: Arc<Metrics>,
     longest: Duration,
 }
 
@@ -107,7 +107,7 @@
             standby,
         } = parts;
         let names = Names { classes: settings.classes(), tenants: settings.tenant_names() };
-        let vitals = Arc::new(Vitals::new(names.classes.iter().map(|form| form.name.as_str())));
+        let metrics = Arc::new(Metrics::new(names.classes.iter().map(|form| form.name.as_str())));
         let longest = Duration::try_from_secs_f64(settings.longest_deadline_ms() / 1e3).unwrap_or_default();
         let (clients, transfers) = (budgets.clients.clone(), budgets.transfers.clone());
         let (life, lives) = watch::channel(Lifecycle::new(standby, Instant::now()));
@@ -117,17 +117,17 @@
             discovery,
             budgets,
             crossing,
-            vitals: vitals.clone(),
+            metrics: metrics.clone(),
             log: log.clone(),
             listener: listening.clone(),
             life: lives.clone(),
         });
         let (life, (hold, held)) = (Arc::new(life), watch::channel(()));
         let told = Outlet::new(happenings.clone());
-        let front = Arc::new(Front::new(names, lives, told, clients, transfers, vitals.clone(), log));
+        let front = Arc::new(Front::new(names, lives, told, clients, transfers, metrics.clone(), log));
         let instance =
             Instance { driver, front, listener, known, estate, life: life.clone(), held, telling: listening };
-        (instance, Control { happenings, life, _held: Arc::new(hold), vitals, longest })
+        (instance, Control { happenings, life, _held: Arc::new(hold), metrics, longest })
     }
 
     /// Runs until it has drained or failed. When this future is dropped, everything that belongs to the instance
@@ -264,8 +264,8 @@
     }
 
     /// What is counted.
-    pub fn vitals(&self) -> &Vitals {
-        &self.vitals
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
     }
 
     /// The longest that a client of any class waits.
@@ -305,9 +305,16 @@
         life.wish(Wish::Drain(Drain::Close { linger: FOR_GOOD, at_most: FOR_GOOD }), Instant::now());
         let (life, lives) = watch::channel(life);
         // What it refuses is not told of an instance.
-        let vitals = Arc::new(Vitals::new(std::iter::empty()));
-        let front =
-            Front::new(names, lives, refuse, budgets.clients.clone(), budgets.transfers.clone(), vitals, log);
+        let metrics = Arc::new(Metrics::new(std::iter::empty()));
+        let front = Front::new(
+            names,
+            lives,
+            refuse,
+            budgets.clients.clone(),
+            budgets.transfers.clone(),
+            metrics,
+            log,
+        );
         (StandIn { front: Arc::new(front), listener }, StandInControl(life))
     }
 
--- a/crates/sidecar/src/vitals.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -8,11 +8,11 @@
 
 /// Counts of one instance, from its start on.
 #[derive(Debug)]
-pub struct Vitals {
+pub struct Metrics {
     /// Whether it has a list of upstreams, so that `/up` answers 200.
     pub ready: AtomicBool,
     /// By class.
-    classes: Box<[ClassVitals]>,
+    classes: Box<[ClassMetrics]>,
     /// Attempts whose last byte was written.
     pub sends: AtomicU64,
     /// Answers of unknown length that were passed on as they came, since there was no room to hold them.
@@ -27,7 +27,7 @@
 
 /// Counts of one class.
 #[derive(Debug)]
-pub struct ClassVitals {
+pub struct ClassMetrics {
     /// Its name.
     pub name: Box<str>,
     /// Requests taken: their last byte was read, they were sound, and their id was not that of an open one.
@@ -60,13 +60,13 @@
 pub struct Counts {
     /// Requests taken.
     pub taken: u64,
-    /// See [`ClassVitals`].
+    /// See [`ClassMetrics`].
     pub served: u64,
-    /// See [`ClassVitals`].
+    /// See [`ClassMetrics`].
     pub refused: u64,
-    /// See [`ClassVitals`].
+    /// See [`ClassMetrics`].
     pub failed: u64,
-    /// See [`ClassVitals`].
+    /// See [`ClassMetrics`].
     pub left: u64,
 }
 
@@ -77,11 +77,11 @@
     }
 }
 
-impl Vitals {
+impl Metrics {
     /// Nothing yet, of classes with these names.
-    pub fn new<'a>(names: impl Iterator<Item = &'a str>) -> Vitals {
+    pub fn new<'a>(names: impl Iterator<Item = &'a str>) -> Metrics {
         let zero = || AtomicU64::new(0);
-        let classes = names.map(|name| ClassVitals {
+        let classes = names.map(|name| ClassMetrics {
             name: name.into(),
             taken: zero(),
             served: zero(),
@@ -89,7 +89,7 @@
             failed: zero(),
             left: zero(),
         });
-        Vitals {
+        Metrics {
             ready: AtomicBool::new(false),
             classes: classes.collect(),
             sends: zero(),
@@ -126,7 +126,7 @@
 
     /// The counts of all classes together.
     pub fn all(&self) -> Counts {
-        self.classes.iter().map(ClassVitals::counts).fold(Counts::default(), |sum, one| Counts {
+        self.classes.iter().map(ClassMetrics::counts).fold(Counts::default(), |sum, one| Counts {
             taken: sum.taken + one.taken,
             served: sum.served + one.served,
             refused: sum.refused + one.refused,
@@ -136,7 +136,7 @@
     }
 }
 
-impl ClassVitals {
+impl ClassMetrics {
     fn counts(&self) -> Counts {
         // The ends first: a request that ends in between must not make what is open negative.
         let [served, refused, failed, left] =
@@ -151,26 +151,26 @@
 
     #[test]
     fn what_was_taken_is_what_came_of_it_and_what_is_open_at_every_moment() {
-        let vitals = Vitals::new(["a", "b"].into_iter());
+        let metrics = Metrics::new(["a", "b"].into_iter());
         std::thread::scope(|threads| {
             threads.spawn(|| {
                 let mut rng = oorandom::Rand64::new(1);
                 for _ in 0..50_000 {
                     let class = ClassId(rng.rand_range(0..3) as usize);
-                    vitals.taken(class);
+                    metrics.taken(class);
                     let came = [Came::Served, Came::Refused, Came::Failed, Came::Left];
-                    vitals.ended(class, came[rng.rand_range(0..4) as usize]);
+                    metrics.ended(class, came[rng.rand_range(0..4) as usize]);
                 }
             });
             threads.spawn(|| {
                 for _ in 0..20_000 {
-                    let Counts { taken, served, refused, failed, left } = vitals.all();
+                    let Counts { taken, served, refused, failed, left } = metrics.all();
                     let ended = served + refused + failed + left;
                     assert!(taken >= ended, "{taken} taken, {ended} ended");
                 }
             });
         });
-        let names: Vec<&str> = vitals.classes().map(|(name, _)| name).collect();
-        assert_eq!((names, vitals.all().open()), (vec!["a", "b"], 0));
+        let names: Vec<&str> = metrics.classes().map(|(name, _)| name).collect();
+        assert_eq!((names, metrics.all().open()), (vec!["a", "b"], 0));
     }
 }
--- a/crates/sidecar/src/division.rs
+++ b/crates/sidecar/src/resource_limits.rs
@@ -20,7 +20,7 @@
 
 /// What is divided among whom.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Division {
+pub struct ResourceLimits {
     /// Connections on each side.
     pub connections: usize,
     /// Long bodies that pass through at once.
@@ -31,7 +31,7 @@
 ///
 /// # Errors
 /// There is too little: what is needed, as a sum.
-pub fn divide(limits: &Limits, console: bool, processes: usize) -> Result<Division, String> {
+pub fn divide(limits: &Limits, console: bool, processes: usize) -> Result<ResourceLimits, String> {
     let link = if processes > 1 { LINK_SOCKETS } else { 0 };
     let own = OWN_SOCKETS + link + if console { PLACES + OWN_DESCRIPTORS } else { 0 };
     let [connections, transfers] = LEAST;
@@ -60,7 +60,7 @@
     let half = (kib - own_kib) / 2;
     let by_memory = half / PAIR_KIB;
     let by_sockets = (limits.sockets - processes * own) / 2;
-    Ok(Division {
+    Ok(ResourceLimits {
         connections: by_memory.min(by_sockets).max(connections),
         transfers: (half / TRANSFER_KIB).max(transfers),
     })
@@ -82,7 +82,7 @@
                     let Ok(division) = divide(&limits(memory_mb, sockets), console, processes) else {
                         continue;
                     };
-                    let Division { connections, transfers } = division;
+                    let ResourceLimits { connections, transfers } = division;
                     let own = OWN_SOCKETS
                         + usize::from(console) * (PLACES + OWN_DESCRIPTORS)
                         + (processes - 1) * LINK_SOCKETS;
--- a/crates/sidecar/src/transfer/answer.rs
+++ b/crates/sidecar/src/transfer/answer.rs
@@ -16,9 +16,9 @@
 use super::patience::Patience;
 use crate::budget::Taken;
 use crate::connection::Connection;
+use crate::metrics::Came;
 use crate::request_bound::{RequestState, StreamProgress, bound};
 use crate::slot::Slot;
-use crate::vitals::Came;
 
 /// An answer's body.
 #[derive(Debug)]
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -21,6 +21,7 @@
 use crate::execution::{self, How, Written};
 use crate::log::Log;
 use crate::messages::{Answer, End, Flight, Outlet};
+use crate::metrics::{Came, Metrics};
 use crate::presence::Terms;
 use crate::request_bound::{RequestState, bound};
 use crate::transfer::answer::{self, Payload, Stream};
@@ -30,7 +31,6 @@
 use crate::transfer::outgoing::{Kept, Outgoing};
 use crate::transfer::patience::Patience;
 use crate::transfer::upload::{Fate, Upload};
-use crate::vitals::{Came, Vitals};
 
 /// Why there is no answer.
 enum Broken {
@@ -108,7 +108,7 @@
         let Holder { flight, common } = self.holder;
         self.room = common.transfers.take();
         if self.room.is_none() {
-            common.vitals.unheld_answers.fetch_add(1, Ordering::Relaxed);
+            common.metrics.unheld_answers.fetch_add(1, Ordering::Relaxed);
             return false;
         }
         let times = HoldTimes { head_at: self.head_at, aim_at: flight.aim_at, attempt_until: flight.until };
@@ -285,7 +285,7 @@
     /// Where they log.
     pub log: Log,
     /// Where those that were written whole are counted.
-    pub vitals: Arc<Vitals>,
+    pub metrics: Arc<Metrics>,
     /// How long answers that stop are waited for.
     pub patience: Arc<Patience>,
     /// How long those turn out that state no length.
@@ -325,7 +325,7 @@
     }
     let (meter, port) = (connection.meter.clone(), connection.port);
     let client_waits = flight.deadline.saturating_duration_since(Instant::now());
-    meter.begin(Some((common.vitals.clone(), common.patience.clone())), terms);
+    meter.begin(Some((common.metrics.clone(), common.patience.clone())), terms);
     let upload = body.upload().cloned();
     *request.body_mut() = match body {
         Kept::Whole(bytes) => Outgoing::Whole(Full::new(bytes)),
--- a/crates/sidecar/src/upstream/tests.rs
+++ b/crates/sidecar/src/upstream/tests.rs
@@ -43,7 +43,7 @@
 fn common() -> Common {
     Common {
         log: Log::process(),
-        vitals: Arc::new(Vitals::new(std::iter::empty())),
+        metrics: Arc::new(Metrics::new(std::iter::empty())),
         patience: Arc::default(),
         lengths: Arc::default(),
         transfers: Room::new(1),
@@ -291,7 +291,7 @@
             _ => false,
         });
         assert_eq!(streamed, is_full, "{} messages", messages.len());
-        assert_eq!(common.vitals.unheld_answers.load(Ordering::Relaxed), u64::from(is_full));
+        assert_eq!(common.metrics.unheld_answers.load(Ordering::Relaxed), u64::from(is_full));
         drop(messages);
         let _ = tokio::task::spawn_blocking(move || peer.join()).await.unwrap();
     }
--- a/crates/sidecar/tests/client_disconnect.rs
+++ b/crates/sidecar/tests/client_disconnect.rs
@@ -14,9 +14,9 @@
 use sagemast_sidecar::lifecycle::Lifecycle;
 use sagemast_sidecar::log::Log;
 use sagemast_sidecar::messages::{Arrival, Final, Forward, FromClients, Outlet};
+use sagemast_sidecar::metrics::Metrics;
 use sagemast_sidecar::presence::Presence;
 use sagemast_sidecar::transfer::outgoing::Kept;
-use sagemast_sidecar::vitals::Vitals;
 use socket2::SockRef;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
@@ -124,7 +124,7 @@
             discovery: SocketAddr::from(([127, 0, 0, 1], 9)),
             budgets: Budgets::of(8),
             crossing: None,
-            vitals: Arc::new(Vitals::new(std::iter::once("a"))),
+            metrics: Arc::new(Metrics::new(std::iter::once("a"))),
             log: Log::process(),
             listener: Outlet::nowhere(),
             life: lives,
--- a/crates/sidecar/tests/staleness.rs
+++ b/crates/sidecar/tests/staleness.rs
@@ -12,7 +12,7 @@
 use sagemast_sidecar::lifecycle::Lifecycle;
 use sagemast_sidecar::log::Log;
 use sagemast_sidecar::messages::Outlet;
-use sagemast_sidecar::vitals::Vitals;
+use sagemast_sidecar::metrics::Metrics;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -155,7 +155,7 @@
 
 /// A driver that runs, and what it has taken in.
 struct Sidecar {
-    vitals: Arc<Vitals>,
+    metrics: Arc<Metrics>,
     _running: JoinSet<()>,
     _life: watch::Sender<Lifecycle>,
 }
@@ -163,14 +163,14 @@
 impl Sidecar {
     fn start(discovery: SocketAddr, seed: u64, log: Log) -> Sidecar {
         let (life, lives) = watch::channel(Lifecycle::new(false, Instant::now()));
-        let vitals = Arc::new(Vitals::new(std::iter::once("a")));
+        let metrics = Arc::new(Metrics::new(std::iter::once("a")));
         let (driver, happenings) = Driver::new(Parts {
             settings: serde_json::from_str(SETTINGS).expect("settings"),
             seed,
             discovery,
             budgets: Budgets::of(8),
             crossing: None,
-            vitals: vitals.clone(),
+            metrics: metrics.clone(),
             log,
             listener: Outlet::nowhere(),
             life: lives,
@@ -181,12 +181,12 @@
             driver.run(Some(known), None).await;
             drop(happenings);
         });
-        Sidecar { vitals, _running: running, _life: life }
+        Sidecar { metrics, _running: running, _life: life }
     }
 
     /// Waits until it has taken this version in.
     async fn takes_in(&self, seq: u64) {
-        while self.vitals.seq.load(Ordering::Relaxed) != seq {
+        while self.metrics.seq.load(Ordering::Relaxed) != seq {
             sleep(LOOK).await;
         }
     }
--- a/crates/udp/src/watch.rs
+++ b/crates/udp/src/watch.rs
@@ -6,7 +6,7 @@
 use sagemast_sidecar::hosts::HostList;
 use sagemast_sidecar::log::Log;
 use sagemast_sidecar::messages::Outlet;
-use sagemast_sidecar::silence::Times;
+use sagemast_sidecar::watch_liveness::Times;
 use tokio::sync::oneshot;
 
 /// Ends the watch when it is dropped.
