--- a/crates/decide/src/crossing.rs
+++ b/crates/decide/src/crossing.rs
@@ -9,7 +9,7 @@
 use std::fmt::Debug;
 
 use crate::api::*;
-use crate::brain::Balancer;
+use crate::balancer::Balancer;
 use crate::fleet::Reach;
 use crate::state::{Candidate, Held, View};
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -2,9 +2,8 @@
 //! clock and no I/O, so the same seed, settings and events give the same actions.
 
 pub mod api;
-pub mod brain;
+pub mod balancer;
 mod carried;
-mod cold;
 pub mod crossing;
 mod fleet;
 mod giving_up;
@@ -18,6 +17,7 @@
 mod reports;
 mod sends;
 pub mod settings;
+mod slow_start;
 pub mod staleness;
 mod state;
 pub mod subset;
@@ -25,4 +25,4 @@
 mod upload;
 mod watch;
 
-pub use brain::Balancer;
+pub use balancer::Balancer;
--- a/crates/flows/src/flows.rs
+++ b/crates/flows/src/flows.rs
@@ -7,7 +7,7 @@
 use oorandom::Rand64;
 use sagemast_decide::api as module;
 use sagemast_decide::api::{AttemptNo, ClassId, Finished, ListNews, Outcome, Report, RequestId, TenantId};
-use sagemast_decide::brain::Balancer;
+use sagemast_decide::balancer::Balancer;
 
 use crate::api::*;
 use crate::counts::Counts;
