--- a/crates/sidecar/src/upstream/tests.rs
+++ b/crates/sidecar/src/upstream/tests.rs
@@ -265,6 +265,13 @@
         let (connection, flight) = at_hand(listener.local_addr().unwrap()).await;
         let peer = std::thread::spawn(move || {
             let (mut stream, _) = listener.accept().unwrap();
+            // Bytes that no request asked for would end the connection.
+            let mut came = Vec::new();
+            while !is_whole(&came) {
+                let mut room = [0; 512];
+                let read = stream.read(&mut room).unwrap();
+                came.extend_from_slice(&room[..read]);
+            }
             std::io::Write::write_all(&mut stream, b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n").unwrap();
             for _ in 0..30 {
                 std::thread::sleep(Duration::from_millis(20));
