--- a/crates/cli/tests/answers_reach_clients.rs
+++ b/crates/cli/tests/answers_reach_clients.rs
@@ -222,24 +222,6 @@
     }
 }
 
-/// Connects again and again while the test runs, asks once each time and keeps the connection: places are short all the time.
-fn crowd(address: SocketAddr, stop: &AtomicBool) -> usize {
-    let mut kept = std::collections::VecDeque::new();
-    let mut asked = 0;
-    while !stop.load(Ordering::SeqCst) {
-        let mut client = Client::to(address);
-        client.send("fetch", 6_000);
-        let _ = client.read();
-        asked += 1;
-        kept.push_back(client);
-        if kept.len() > 60 {
-            kept.pop_front();
-        }
-        std::thread::sleep(Duration::from_millis(4));
-    }
-    asked
-}
-
 /// Reads an answer in small pieces, at about 400 KB a second.
 struct SlowReader(std::net::TcpStream);
 
@@ -283,7 +265,7 @@
     sidecar.wait_up();
     let stop = AtomicBool::new(false);
     std::thread::scope(|scope| {
-        let asked = scope.spawn(|| crowd(sidecar.address, &stop));
+        let asked = scope.spawn(|| crowd(sidecar.address, Duration::from_millis(4), &stop));
         let readers: Vec<_> = (0..3)
             .map(|_| {
                 let (address, body) = (sidecar.address, &body);
@@ -314,7 +296,7 @@
     (0..REQUESTS).for_each(|_| client.send("log", 6_000));
     let stop = AtomicBool::new(false);
     std::thread::scope(|scope| {
-        let asked = scope.spawn(|| crowd(sidecar.address, &stop));
+        let asked = scope.spawn(|| crowd(sidecar.address, Duration::from_millis(4), &stop));
         std::thread::sleep(Duration::from_millis(1_500));
         let whole = (0..REQUESTS)
             .map_while(|_| client.read())
--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -9,7 +9,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::time::{Duration, Instant};
 
@@ -835,3 +835,27 @@
         Client { reader, asked: VecDeque::new(), answered: None, is_raw: false }
     }
 }
+
+// --- A crowd of newcomers ---------------------------------------------------------------------
+
+/// Connections that a crowd keeps at once, beyond what a sidecar with few descriptors has room for.
+const CROWD_KEEPS: usize = 60;
+
+/// Connects again and again until told to stop, with this pause between, asks once each time and keeps the connection: places
+/// are short all the time, and some of those who have one are idle. How often it asked.
+pub fn crowd(address: SocketAddr, pause: Duration, stop: &AtomicBool) -> usize {
+    let mut kept = VecDeque::new();
+    let mut asked = 0;
+    while !stop.load(Ordering::SeqCst) {
+        let mut client = Client::to(address);
+        client.send("fetch", 6_000);
+        let _ = client.read();
+        asked += 1;
+        kept.push_back(client);
+        if kept.len() > CROWD_KEEPS {
+            kept.pop_front();
+        }
+        std::thread::sleep(pause);
+    }
+    asked
+}
--- a/crates/cli/tests/requests_in_pieces.rs
+++ b/crates/cli/tests/requests_in_pieces.rs
@@ -3,7 +3,6 @@
 
 mod loopback;
 
-use std::collections::VecDeque;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -294,25 +293,6 @@
 
 // --- Eviction -------------------------------------------------------------------------------------
 
-/// Connects again and again, asks once each time and keeps the connection: places are short all the time, and some of those who
-/// have one are idle.
-fn crowd(address: SocketAddr, stop: &AtomicBool) -> usize {
-    let mut kept = VecDeque::new();
-    let mut asked = 0;
-    while !stop.load(Ordering::SeqCst) {
-        let mut client = Client::to(address);
-        client.send("fetch", 6_000);
-        let _ = client.read();
-        asked += 1;
-        kept.push_back(client);
-        if kept.len() > 60 {
-            kept.pop_front();
-        }
-        std::thread::sleep(Duration::from_millis(15));
-    }
-    asked
-}
-
 /// Guards against closing a connection in the middle of a request for a newcomer while others rest and hold nothing.
 #[test]
 fn who_writes_slowly_is_not_evicted_while_others_are_idle() {
@@ -324,7 +304,7 @@
     let stop = AtomicBool::new(false);
     let length = request("log", 6_000).len();
     std::thread::scope(|scope| {
-        let asked = scope.spawn(|| crowd(sidecar.address, &stop));
+        let asked = scope.spawn(|| crowd(sidecar.address, Duration::from_millis(15), &stop));
         let slow: Vec<_> = [40, length - 2]
             .map(|cut| {
                 let address = sidecar.address;
