--- a/review/standin/case1.rs
+++ b/review/standin/case1.rs
@@ -63,38 +63,6 @@
     Ok(if status != 0 && in_time { Fate::Answered(status) } else { Fate::Lost })
 }
 
-/// Short requests on one kept connection, until `stop`.
-fn short_requests(address: &str, stop: &AtomicBool, served: &AtomicU64) {
-    while !stop.load(Ordering::Relaxed) {
-        let Ok(mut connection) = http::connect(address) else { continue };
-        let _ = connection.stream.set_read_timeout(Some(Duration::from_secs(3)));
-        while !stop.load(Ordering::Relaxed) {
-            let request = format!(
-                "GET /page-fetch?k=p HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {}\r\n\
-                 X-Priority-Class: page-fetch\r\nX-Timeout-Ms: 800\r\n\r\n",
-                http::next_id()
-            );
-            if connection.stream.write_all(request.as_bytes()).is_err() {
-                break;
-            }
-            let Ok(Some(head)) = connection.head() else { break };
-            if connection.body(&head, true, &mut Vec::new()).is_err() {
-                break;
-            }
-            served.fetch_add(u64::from(head.status() == 200), Ordering::Relaxed);
-            if head.get("connection") == Some("close") {
-                break;
-            }
-            thread::sleep(Duration::from_millis(50));
-        }
-    }
-}
-
-fn signal(name: &str, pid: &str, record: &Record) {
-    let sent = std::process::Command::new("kill").arg(format!("-{name}")).arg(pid).status();
-    record.line(&format!("signal {name} pid={pid} done={}", sent.is_ok_and(|status| status.success())));
-}
-
 pub fn run(options: &Options) {
     let record = Record::open(options.get("record"));
     let address = options.get("sidecar").to_owned();
@@ -111,12 +79,12 @@
     let shorts: Vec<_> = (0..options.number("shorts", 1))
         .map(|_| {
             let (address, stop, served) = (address.clone(), stop.clone(), served.clone());
-            thread::spawn(move || short_requests(&address, &stop, &served))
+            thread::spawn(move || http::short_requests(&address, &stop, &served))
         })
         .collect();
     thread::sleep(Duration::from_secs(2));
     if trouble {
-        hung.iter().for_each(|pid| signal("STOP", pid, &record));
+        hung.iter().for_each(|pid| http::signal("STOP", pid, &record));
     }
     let fates = Arc::new(Mutex::new(Vec::new()));
     let uploads: Vec<_> = (0..count)
@@ -135,7 +103,7 @@
     // The silence lasts for 15 s in all.
     thread::sleep(Duration::from_millis(15_000 - (count / group * 1_000).min(15_000)));
     if trouble {
-        hung.iter().for_each(|pid| signal("CONT", pid, &record));
+        hung.iter().for_each(|pid| http::signal("CONT", pid, &record));
     }
     uploads.into_iter().for_each(|one| drop(one.join()));
     stop.store(true, Ordering::Relaxed);
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -4,7 +4,8 @@
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The record file, to which each line is appended by one write.
@@ -187,7 +188,43 @@
         if matches!(status, Ok(200)) {
             return true;
         }
-        std::thread::sleep(Duration::from_millis(100));
+        thread::sleep(Duration::from_millis(100));
     }
     false
 }
+
+/// Short requests on one kept connection, until `stop`.
+pub fn short_requests(address: &str, stop: &AtomicBool, served: &AtomicU64) {
+    while !stop.load(Ordering::Relaxed) {
+        let Ok(mut connection) = connect(address) else {
+            thread::sleep(Duration::from_millis(20));
+            continue;
+        };
+        let _ = connection.stream.set_read_timeout(Some(Duration::from_secs(3)));
+        while !stop.load(Ordering::Relaxed) {
+            let request = format!(
+                "GET /page-fetch?k=p HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {}\r\n\
+                 X-Priority-Class: page-fetch\r\nX-Timeout-Ms: 800\r\n\r\n",
+                next_id()
+            );
+            if connection.stream.write_all(request.as_bytes()).is_err() {
+                break;
+            }
+            let Ok(Some(head)) = connection.head() else { break };
+            if connection.body(&head, true, &mut Vec::new()).is_err() {
+                break;
+            }
+            served.fetch_add(u64::from(head.status() == 200), Ordering::Relaxed);
+            if head.get("connection") == Some("close") {
+                break;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+/// Sends a signal to a process that the case has started.
+pub fn signal(name: &str, pid: &str, record: &Record) {
+    let sent = std::process::Command::new("kill").arg(format!("-{name}")).arg(pid).status();
+    record.line(&format!("signal {name} pid={pid} done={}", sent.is_ok_and(|status| status.success())));
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 
 mod case1;
 mod case2;
+mod case3;
 mod http;
 mod services;
 
@@ -49,8 +50,9 @@
         Some("port") => services::print_free_ports(&options),
         Some("case1") => case1::run(&options),
         Some("case2") => case2::run(&options),
+        Some("case3") => case3::run(&options),
         _ => {
-            eprintln!("standin upstream|discovery|port|case1|case2");
+            eprintln!("standin upstream|discovery|port|case1|case2|case3");
             std::process::exit(2)
         }
     }
