--- a/review/lib.sh
+++ b/review/lib.sh
@@ -79,7 +79,8 @@
     for port in $ports; do
         number=$((number + 1))
         extra=""
-        [ $number -le 2 ] && extra=${EXTRA_FOR_FIRST_TWO:-}
+        # Upstreams 1 and 3 stand in one building.
+        case $number in 1 | 3) extra=${EXTRA_FOR_1_AND_3:-} ;; esac
         # shellcheck disable=SC2086
         start "upstream-$number" "$STANDIN" upstream --listen "127.0.0.1:$port" --name "s-$number" --record "$RECORD" "$@" $extra
         UPSTREAM_PIDS="$UPSTREAM_PIDS $LAST"
--- a/review/standin/case3.rs
+++ b/review/standin/case3.rs
@@ -5,8 +5,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::Options;
 use crate::http::{self, BodyEnd, Record};
+use crate::Options;
 
 /// What became of a fetch.
 struct Fate {
@@ -84,8 +84,10 @@
     let not_served = fates.iter().filter(|fate| fate.status != 200 && fate.status != 0).count();
     let unanswered = fates.iter().filter(|fate| fate.status == 0).count();
     let cut = fates.iter().filter(|fate| fate.status == 200 && !fate.whole).count();
-    let summary =
-        format!("summary fetches={} whole={whole} not_served={not_served} unanswered={unanswered} cut={cut}", fates.len());
+    let summary = format!(
+        "summary fetches={} whole={whole} not_served={not_served} unanswered={unanswered} cut={cut}",
+        fates.len()
+    );
     record.line(&summary);
     println!("{summary}");
     if whole == 0 {
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -3,8 +3,8 @@
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -16,9 +16,9 @@
 
 impl Options {
     fn parse(args: &[String]) -> Options {
-        let pairs = args.chunks(2).filter_map(|pair| {
-            Some((pair.first()?.strip_prefix("--")?.to_owned(), pair.get(1)?.clone()))
-        });
+        let pairs = args
+            .chunks(2)
+            .filter_map(|pair| Some((pair.first()?.strip_prefix("--")?.to_owned(), pair.get(1)?.clone())));
         Options(pairs.collect())
     }
 
