--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,13 +1,13 @@
 #!/bin/sh
-# Case 2: bad clients connect by hundreds and send several requests at once, to a sidecar with the least memory.
-# TROUBLE=0 does the same without them.
+# Case 2: two of twelve upstreams take requests and answer none for 15 s, while clients upload bills.
+# TROUBLE=0 does the same without that.
 HERE=$(cd "$(dirname "$0")" && pwd)
 . "$HERE/../lib.sh"
-start_services 9 --work-ms 20
-MEMORY_MB=32 SOCKETS=256
+start_services 12 --work-ms 20
 start_sidecar
-"$STANDIN" case2 --record "$RECORD" --sidecar "$LISTEN" --sidecar-pid "$SIDECAR" --memory-mb 32 \
-    --trouble "$TROUBLE" --connections "${CONNECTIONS:-250}" --requests "${REQUESTS:-2}" --seconds 20
+set -- $UPSTREAM_PIDS
+"$STANDIN" case2 --record "$RECORD" --sidecar "$LISTEN" --hung-pids "$1,$3" --trouble "$TROUBLE" \
+    --bytes "${BYTES:-4194304}" --uploads "${UPLOADS:-60}" --group "${GROUP_SIZE:-5}" --shorts 0 --timeout-ms 900
 code=$?
 sed 's/^/sidecar log: /' "$WORK/sidecar.log" >> "$RECORD"
 exit $code
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -78,11 +78,7 @@
     number=0
     for port in $ports; do
         number=$((number + 1))
-        extra=""
-        # Upstreams 1 and 3 stand in one building.
-        case $number in 1 | 3) extra=${EXTRA_FOR_1_AND_3:-} ;; esac
-        # shellcheck disable=SC2086
-        start "upstream-$number" "$STANDIN" upstream --listen "127.0.0.1:$port" --name "s-$number" --record "$RECORD" "$@" $extra
+        start "upstream-$number" "$STANDIN" upstream --listen "127.0.0.1:$port" --name "s-$number" --record "$RECORD" "$@"
         UPSTREAM_PIDS="$UPSTREAM_PIDS $LAST"
         hosts="$hosts,s-$number=127.0.0.1:$port"
     done
--- a/review/standin/case2.rs
+++ b/review/standin/case2.rs
@@ -1,140 +1,129 @@
-//! Case 2: the platform, which kills a sidecar that goes over its memory limit, the usual clients, and bad
-//! clients that send many requests at once.
+//! Case 2: the client. It sends short requests and uploads, and judges when the uploads are answered.
 
-use std::io::{Read, Write};
+use std::io::Write;
+use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::http::{self, Record};
 use crate::Options;
 
-/// Memory of a process that is its own, without its program's text: `[RssAnon + RssShmem, VmRSS]` in KiB.
-fn memory_kib(pid: &str) -> Option<[u64; 2]> {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let field = |name: &str| {
-        let line = status.lines().find(|line| line.starts_with(name))?;
-        line.split_whitespace().nth(1)?.parse::<u64>().ok()
-    };
-    Some([field("RssAnon:")? + field("RssShmem:")?, field("VmRSS:")?])
+/// An answer that comes later than this after the client's time is lost.
+const LATE_LIMIT: Duration = Duration::from_millis(500);
+/// How long a client that has no answer goes on reading, so that the record shows when it comes.
+const READ_ON: Duration = Duration::from_secs(16);
+
+/// What became of an upload.
+enum Fate {
+    /// The client could not send its last byte, so that the sidecar has not taken the request.
+    NotTaken,
+    /// Answered in time, with this status.
+    Answered(u16),
+    /// The last byte was written, and no whole answer came in time.
+    Lost,
 }
 
-/// One connection of a bad client: requests of 64 KiB, all at once; then it reads what it is sent.
-fn bad_connection(address: &str, requests: usize) -> std::io::Result<usize> {
+fn upload(address: &str, bytes: usize, timeout: Duration, record: &Record) -> std::io::Result<Fate> {
+    let id = http::next_id();
     let mut connection = http::connect(address)?;
-    let mut message = Vec::new();
-    for _ in 0..requests {
-        let id = http::next_id();
-        message.extend_from_slice(
-            format!(
-                "POST /copy-bill HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {id}\r\nX-Priority-Class: copy-bill\r\n\
-                 X-Timeout-Ms: 900\r\nContent-Length: 65536\r\n\r\n"
-            )
-            .as_bytes(),
-        );
-        message.resize(message.len() + 65_536, b'b');
-    }
-    connection.stream.set_write_timeout(Some(Duration::from_secs(3)))?;
-    connection.stream.set_read_timeout(Some(Duration::from_secs(3)))?;
-    connection.stream.write_all(&message)?;
-    let (began, mut read) = (Instant::now(), 0);
-    let mut chunk = [0; 4096];
-    while began.elapsed() < Duration::from_secs(3) {
-        match connection.stream.read(&mut chunk)? {
-            0 => break,
-            bytes => read += bytes,
-        }
+    let head = format!(
+        "POST /copy-bill HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {id}\r\nX-Priority-Class: copy-bill\r\n\
+         X-Timeout-Ms: {}\r\nContent-Length: {bytes}\r\n\r\n",
+        timeout.as_millis()
+    );
+    let mut message = head.into_bytes();
+    message.resize(message.len() + bytes, b'b');
+    record.line(&format!("upload id={id} bytes={bytes} timeout_ms={}", timeout.as_millis()));
+    let began = Instant::now();
+    connection.stream.set_write_timeout(Some(READ_ON))?;
+    if let Err(error) = connection.stream.write_all(&message) {
+        record.line(&format!("not_taken id={id} after_ms={} error={error}", began.elapsed().as_millis()));
+        return Ok(Fate::NotTaken);
     }
-    Ok(read)
+    let sent = Instant::now();
+    record.line(&format!("taken id={id} last_byte_after_ms={}", began.elapsed().as_millis()));
+    connection.stream.set_read_timeout(Some(READ_ON))?;
+    let answer = connection.head().ok().flatten().and_then(|head| {
+        let mut body = Vec::new();
+        let end = connection.body(&head, true, &mut body).ok()?;
+        (end == http::BodyEnd::Whole).then_some((head.status(), body))
+    });
+    let took = sent.elapsed();
+    let _ = connection.stream.shutdown(Shutdown::Both);
+    let in_time = took <= timeout + LATE_LIMIT;
+    let status = answer.as_ref().map_or(0, |(status, _)| *status);
+    let foreign =
+        answer.is_some_and(|(status, body)| status == 200 && body != format!("answer to {id}").as_bytes());
+    record.line(&format!(
+        "answer id={id} status={status} after_ms={} due_ms={} in_time={in_time} foreign={foreign}",
+        took.as_millis(),
+        (timeout + LATE_LIMIT).as_millis()
+    ));
+    Ok(if status != 0 && in_time { Fate::Answered(status) } else { Fate::Lost })
 }
 
 pub fn run(options: &Options) {
     let record = Record::open(options.get("record"));
-    let (address, pid) = (options.get("sidecar").to_owned(), options.get("sidecar-pid").to_owned());
-    let limit_mb = options.number("memory-mb", 32);
+    let address = options.get("sidecar").to_owned();
+    let hung: Vec<String> = options.get("hung-pids").split(',').map(str::to_owned).collect();
     let trouble = options.number("trouble", 1) != 0;
-    let (connections, requests) =
-        (options.number("connections", 250), options.number("requests", 6) as usize);
+    let (bytes, count) = (options.number("bytes", 4 << 20) as usize, options.number("uploads", 40));
+    let timeout = Duration::from_millis(options.number("timeout-ms", 900));
+    let group = options.number("group", 5);
     if !http::wait_until_up(&address, Duration::from_secs(30)) {
         record.line("the sidecar is not up");
         std::process::exit(2);
     }
-    let (stop, over) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-    let (served, most) = (Arc::new(AtomicU64::new(0)), Arc::new([AtomicU64::new(0), AtomicU64::new(0)]));
-    let platform = {
-        let (stop, over, most, record, pid) =
-            (stop.clone(), over.clone(), most.clone(), record.clone(), pid.clone());
-        thread::spawn(move || {
-            while !stop.load(Ordering::Relaxed) {
-                let Some(memory) = memory_kib(&pid) else { return };
-                for (most, now) in most.iter().zip(memory) {
-                    most.fetch_max(now, Ordering::Relaxed);
-                }
-                if memory[0] > limit_mb * 1024 {
-                    record.line(&format!(
-                        "over memory own_kib={} rss_kib={} limit_mb={limit_mb}",
-                        memory[0], memory[1]
-                    ));
-                    over.store(true, Ordering::Relaxed);
-                    http::signal("KILL", &pid, &record);
-                    return;
-                }
-                thread::sleep(Duration::from_millis(5));
-            }
-        })
-    };
-    let shorts: Vec<_> = (0..8)
+    let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let shorts: Vec<_> = (0..options.number("shorts", 0))
         .map(|_| {
             let (address, stop, served) = (address.clone(), stop.clone(), served.clone());
             thread::spawn(move || http::short_requests(&address, &stop, &served))
         })
         .collect();
-    thread::sleep(Duration::from_secs(3));
-    record.line(&format!(
-        "before own_kib={} rss_kib={} served={}",
-        most[0].load(Ordering::Relaxed),
-        most[1].load(Ordering::Relaxed),
-        served.load(Ordering::Relaxed)
-    ));
-    let ends = Instant::now() + Duration::from_secs(options.number("seconds", 20));
-    let bad: Vec<_> = (0..if trouble { connections } else { 0 })
-        .map(|_| {
-            let (address, over, record) = (address.clone(), over.clone(), record.clone());
-            thread::spawn(move || {
-                while Instant::now() < ends && !over.load(Ordering::Relaxed) {
-                    match bad_connection(&address, requests) {
-                        Ok(read) => {
-                            record.line(&format!("bad_connection requests={requests} answer_bytes={read}"))
-                        }
-                        Err(error) => {
-                            record.line(&format!("bad_connection requests={requests} error={error}"));
-                            thread::sleep(Duration::from_millis(50));
-                        }
-                    }
-                }
-            })
+    thread::sleep(Duration::from_secs(2));
+    if trouble {
+        hung.iter().for_each(|pid| http::signal("STOP", pid, &record));
+    }
+    let fates = Arc::new(Mutex::new(Vec::new()));
+    let uploads: Vec<_> = (0..count)
+        .map(|number| {
+            let (address, record, fates) = (address.clone(), record.clone(), fates.clone());
+            let one = thread::spawn(move || {
+                let fate = upload(&address, bytes, timeout, &record);
+                fates.lock().unwrap().extend(fate);
+            });
+            if (number + 1) % group == 0 {
+                thread::sleep(Duration::from_millis(1_000));
+            }
+            one
         })
         .collect();
-    while Instant::now() < ends && !over.load(Ordering::Relaxed) {
-        thread::sleep(Duration::from_millis(20));
+    // The silence lasts for 15 s in all.
+    thread::sleep(Duration::from_millis(15_000 - (count / group * 1_000).min(15_000)));
+    if trouble {
+        hung.iter().for_each(|pid| http::signal("CONT", pid, &record));
     }
-    bad.into_iter().for_each(|one| drop(one.join()));
-    thread::sleep(Duration::from_millis(300));
+    uploads.into_iter().for_each(|one| drop(one.join()));
     stop.store(true, Ordering::Relaxed);
-    let _ = platform.join();
     shorts.into_iter().for_each(|one| drop(one.join()));
-    let crashed = over.load(Ordering::Relaxed) || memory_kib(&pid).is_none();
+    let fates = fates.lock().unwrap();
+    let count = |wanted: fn(&Fate) -> bool| fates.iter().filter(|fate| wanted(fate)).count();
+    let lost = count(|fate| matches!(fate, Fate::Lost));
+    let answered = count(|fate| matches!(fate, Fate::Answered(200)));
+    let other = count(|fate| matches!(fate, Fate::Answered(status) if *status != 200));
+    let not_taken = count(|fate| matches!(fate, Fate::NotTaken));
     let summary = format!(
-        "summary most_own_mb={:.1} most_rss_mb={:.1} limit_mb={limit_mb} crashed={crashed} short_served={}",
-        most[0].load(Ordering::Relaxed) as f64 / 1024.0,
-        most[1].load(Ordering::Relaxed) as f64 / 1024.0,
+        "summary uploads={} served={answered} refused_or_failed={other} not_taken={not_taken} lost={lost} short_served={}",
+        fates.len(),
         served.load(Ordering::Relaxed)
     );
     record.line(&summary);
     println!("{summary}");
-    if served.load(Ordering::Relaxed) == 0 {
+    if fates.is_empty() {
         std::process::exit(2);
     }
-    std::process::exit(i32::from(crashed));
+    std::process::exit(i32::from(lost > 0));
 }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -33,6 +33,12 @@
     format!("{:08x}{:08x}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed))
 }
 
+/// A random number below this one.
+pub fn random(below: u64) -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    std::collections::hash_map::RandomState::new().build_hasher().finish() % below
+}
+
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
@@ -74,6 +80,12 @@
         Connection { stream, buffer: Vec::new(), at: 0 }
     }
 
+    /// Whether no byte waits, neither here nor in the socket, which must not block.
+    pub fn is_quiet(&self) -> bool {
+        let peeked = self.stream.peek(&mut [0; 1]);
+        self.at == self.buffer.len() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     fn fill(&mut self) -> io::Result<usize> {
         if self.at > 0 {
             self.buffer.drain(..self.at);
