--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,8 +6,5 @@
 start_services 12 --work-ms 20
 start_sidecar
 set -- $UPSTREAM_PIDS
-"$STANDIN" case2 --record "$RECORD" --sidecar "$LISTEN" --hung-pids "$1,$3" --trouble "$TROUBLE" \
-    --bytes "${BYTES:-4194304}" --uploads "${UPLOADS:-60}" --group "${GROUP_SIZE:-5}" --shorts 0 --timeout-ms 900
-code=$?
-sed 's/^/sidecar log: /' "$WORK/sidecar.log" >> "$RECORD"
-exit $code
+run_clients case2 --hung-pids "$1,$3" --trouble "$TROUBLE" --bytes "${BYTES:-4194304}" --uploads "${UPLOADS:-60}" \
+    --group "${GROUP_SIZE:-5}" --timeout-ms 900
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,8 +6,5 @@
 start_services 9 --work-ms 20
 MEMORY_MB=32 SOCKETS=256
 start_sidecar
-"$STANDIN" case3 --record "$RECORD" --sidecar "$LISTEN" --sidecar-pid "$SIDECAR" --memory-mb 32 \
-    --trouble "$TROUBLE" --connections "${CONNECTIONS:-250}" --requests "${REQUESTS:-2}" --seconds 20
-code=$?
-sed 's/^/sidecar log: /' "$WORK/sidecar.log" >> "$RECORD"
-exit $code
+run_clients case3 --sidecar-pid "$SIDECAR" --memory-mb 32 --trouble "$TROUBLE" --connections "${CONNECTIONS:-250}" \
+    --requests "${REQUESTS:-2}" --seconds 20
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -104,3 +104,14 @@
         ROUTER_CONFIG='$WORK/config.json' TMPDIR='$WORK/tmp'; $RUN"
     SIDECAR=$LAST
 }
+
+# Runs the case's clients: run_clients STANDIN-COMMAND OPTIONS... Ends the script with their exit code.
+run_clients() {
+    "$STANDIN" "$@" --record "$RECORD" --sidecar "$LISTEN" &
+    LAST=$!
+    PIDS="$PIDS $LAST"
+    wait "$LAST"
+    code=$?
+    sed 's/^/sidecar log: /' "$WORK/sidecar.log" >> "$RECORD"
+    exit $code
+}
