--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,9 +1,9 @@
-# Common parts of the cases' run.sh. The script that reads this has set HERE to its own folder.
+# Common parts of the cases' run.sh. The script that reads this has set HERE to its own folder
+# and RECORD to the record.txt in it.
 # Exit codes of a case: 1 the rule was broken, 0 it held, 2 the case could not run.
 
 ROOT=$(cd "$HERE/../.." && pwd)
 STANDIN="$HERE/../bin/standin"
-RECORD="$HERE/record.txt"
 TROUBLE=${TROUBLE:-1}
 WORK=$(mktemp -d) || exit 2
 PIDS=""
