Uploads are timed from the client's last byte, also while the upstream takes none

Cause: a streamed body had no deadline until the sidecar itself had read its last byte. It reads no faster than the upstream takes, so that behind a stopped upstream the end of the body rested in the sidecar's socket or in the client's send queue. Ruled out: the upload's own minimum rate (rightly paused while nothing is polled), the module (it never heard that the upload had ended), a write time-out (10 s, for streams of any kind).

Change: every open request has its overdue timer from its arrival on. The attempt ends at that bound (`RequestState::Uploading`), the module hears that the server owes an answer, and the time during which the sidecar waits for the client does not count.

--- a/crates/cli/tests/loopback/mod.rs
+++ b/crates/cli/tests/loopback/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod final_answers;
 pub mod judge;
+pub mod uploads;
 
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
--- a/crates/cli/tests/transfers.rs
+++ b/crates/cli/tests/transfers.rs
@@ -8,13 +8,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use loopback::uploads::{chunked, patterned_body, upload_head};
 use loopback::*;
 
-/// A body whose bytes depend on their position, so that lost or moved bytes are noticed.
-fn patterned_body(length: usize) -> Vec<u8> {
-    (0..length).map(|position| (position % 251) as u8 ^ (position / 251) as u8).collect()
-}
-
 /// The number of complete requests that the upstreams have received.
 fn total_requests(upstreams: &[&Upstream]) -> usize {
     upstreams.iter().map(|upstream| upstream.requests().len()).sum()
@@ -249,26 +245,6 @@
     }
 }
 
-/// The head of a request whose body has this length, or is chunked if there is none.
-fn upload_head(class: &str, length: Option<usize>) -> String {
-    let framing = match length {
-        Some(length) => format!("Content-Length: {length}"),
-        None => "Transfer-Encoding: chunked".to_owned(),
-    };
-    let text = request(class, 6_000);
-    let end = text.find("\r\n\r\n").unwrap();
-    let head: Vec<&str> =
-        text[..end].split("\r\n").filter(|line| !line.starts_with("Content-Length")).collect();
-    format!("{}\r\n{framing}\r\n\r\n", head.join("\r\n"))
-}
-
-/// A body in chunks of this size, with chunk extensions and a trailer field.
-fn chunked(body: &[u8], size: usize) -> Vec<u8> {
-    let chunk = |c: &[u8]| [format!("{:X};x=y\r\n", c.len()).as_bytes(), c, b"\r\n"].concat();
-    let chunks: Vec<u8> = body.chunks(size).flat_map(chunk).collect();
-    [&chunks[..], b"0\r\nX-Sum: 7\r\n\r\n"].concat()
-}
-
 #[test]
 fn long_uploads_of_every_framing_arrive_unchanged() {
     let upstream = Upstream::new(|message| ScriptedResponse::Answer(200, "", message.body.clone()));
--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -294,8 +294,8 @@
     },
     /// An attempt ended. Follows each [`Action::Send`] exactly once.
     AttemptFinished(FinishedAttempt),
-    /// The client is still uploading the body of an attempt in flight, or the last byte has been sent on.
-    /// A server begins its work once it has the last byte, so the times of the request count from there.
+    /// The client is still uploading the body of an attempt in flight, or has written the last byte. From then
+    /// on only the server is waited for, so the times of the request count from there.
     UploadProgress {
         /// The request.
         request: RequestId,
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -194,6 +194,7 @@
 fn feed(framing: &mut Framing, activity: &ConnectionActivity, bytes: &[u8]) -> usize {
     let fed = framing.feed(bytes);
     activity.bytes_received(framing.in_head(), framing.first_ambiguous_request());
+    activity.body_read(fed, framing.body_bytes_left());
     fed
 }
 
--- a/crates/sidecar/src/client_disconnect.rs
+++ b/crates/sidecar/src/client_disconnect.rs
@@ -17,6 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::socket_diagnostics;
+
 const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
 const DISCONNECTED: PollFlags =
     PollFlags::RDHUP.union(PollFlags::HUP).union(PollFlags::ERR).union(PollFlags::NVAL);
@@ -33,6 +35,21 @@
     pub fn from_stream(stream: &SharedStream) -> ClientConnection {
         ClientConnection(Arc::downgrade(stream))
     }
+
+    /// Bytes that wait in the socket. `None` if the connection has ended.
+    pub fn received_unread_bytes(&self) -> Option<u64> {
+        let stream = self.0.upgrade()?;
+        let stream = stream.lock().unwrap_or_else(PoisonError::into_inner);
+        rustix::io::ioctl_fionread(&*stream).ok()
+    }
+
+    /// Bytes that the client has written and its kernel still holds. `None` if that is unknown: the client is
+    /// on another machine, or the connection has ended.
+    pub fn sender_queue_bytes(&self) -> Option<u64> {
+        let stream = self.0.upgrade()?;
+        let stream = stream.lock().unwrap_or_else(PoisonError::into_inner);
+        socket_diagnostics::send_queue_bytes(stream.peer_addr().ok()?, stream.local_addr().ok()?)
+    }
 }
 
 /// The conditions under which the first byte of an attempt may be written.
--- a/crates/sidecar/src/connection_activity.rs
+++ b/crates/sidecar/src/connection_activity.rs
@@ -10,6 +10,7 @@
 
 use crate::client_disconnect::ClientConnection;
 use crate::connection_close::ConnectionContents;
+use crate::transfer::client_progress::ClientProgress;
 
 /// Value of `quiet_since_ms` while a request is open.
 const REQUEST_OPEN: u64 = u64::MAX;
@@ -35,6 +36,10 @@
     direct_read_requested: AtomicBool,
     /// Number of reads that returned bytes.
     read_count: AtomicU64,
+    /// Number of bytes read.
+    bytes_read: AtomicU64,
+    /// Bytes of the current request's body that have not been read; [`UNSET`] if their number is unknown.
+    body_bytes_left: AtomicU64,
     /// Number of requests that have been answered.
     answered_requests: AtomicU64,
     /// Whether an orderly close would make a truncated answer look complete.
@@ -67,6 +72,8 @@
             body_incomplete: AtomicBool::new(false),
             direct_read_requested: AtomicBool::new(false),
             read_count: AtomicU64::new(0),
+            bytes_read: AtomicU64::new(0),
+            body_bytes_left: AtomicU64::new(0),
             answered_requests: AtomicU64::new(0),
             reset_on_close: AtomicBool::new(false),
             next_request_at_ms: AtomicU64::new(UNSET),
@@ -198,6 +205,29 @@
         }
     }
 
+    /// Records that `bytes` bytes were read, and how many bytes of the current request's body are left.
+    pub fn body_read(&self, bytes: usize, body_bytes_left: Option<u64>) {
+        self.bytes_read.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.body_bytes_left.store(body_bytes_left.unwrap_or(UNSET), Ordering::Relaxed);
+    }
+
+    /// What the client has written of the current request, read or not.
+    pub fn client_progress(&self) -> ClientProgress {
+        let left = self.body_bytes_left.load(Ordering::Relaxed);
+        let bytes_left = (left != UNSET).then_some(left);
+        let client = self.client.get().filter(|_| bytes_left != Some(0));
+        let in_socket = client.and_then(ClientConnection::received_unread_bytes).unwrap_or(0);
+        // The sender's queue is empty if the socket is, and does not matter if the socket holds the rest of the
+        // body.
+        let client = client.filter(|_| in_socket > 0 && bytes_left.is_none_or(|left| left > in_socket));
+        ClientProgress {
+            bytes_read: self.bytes_read.load(Ordering::Relaxed),
+            bytes_left,
+            in_socket,
+            in_sender_queue: client.and_then(ClientConnection::sender_queue_bytes),
+        }
+    }
+
     /// Makes the next read ask the socket directly: the runtime learns of received bytes only when it next
     /// polls the kernel.
     pub fn request_direct_read(&self) {
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -136,14 +136,16 @@
     forward: Arc<ForwardedRequest>,
     reply: oneshot::Sender<FinalAnswer>,
     attempt_count: u32,
+    /// When the final answer is due. For an upload that is not received, this is a lower bound.
     deadline: Deadline,
     /// When the client should have its answer.
     aim_at: Instant,
     /// How long the client waits, counted from the request's last byte.
     client_timeout: Duration,
-    /// Key of the request's [`Timer::AnswerOverdue`]. The timer is set when the last byte of the request
-    /// arrives, so the request is received if and only if there is a key.
-    overdue_timer: Option<(Instant, u64)>,
+    /// Whether the client has written the last byte of the request.
+    received: bool,
+    /// Key of the request's [`Timer::AnswerOverdue`].
+    overdue_timer: (Instant, u64),
 }
 
 enum Timer {
@@ -423,9 +425,11 @@
             match entry.remove() {
                 Timer::DecisionModule(token) => self.send_to_module(Event::TimerFired(token)),
                 Timer::AnswerOverdue(request) => {
-                    // The module decides in time unless it has a fault or the process was stalled.
-                    self.finish_request(request, FinalAnswer::Failed);
-                    self.abandon_request(request);
+                    if !self.extend_upload_deadline(request) {
+                        // The module decides in time unless it has a fault or the process was stalled.
+                        self.finish_request(request, FinalAnswer::Failed);
+                        self.abandon_request(request);
+                    }
                 }
                 Timer::StartupWait => {
                     self.discovery_settled = true;
@@ -479,7 +483,7 @@
                 if let Some(open) = self.remove_request(request) {
                     self.log.trace(|| self.answer_trace(&open, "none: its client has left"));
                     // A request that was not completely received is not counted.
-                    if open.overdue_timer.is_some() {
+                    if open.received {
                         self.metrics.count_outcome(open.class, RequestOutcome::ClientDisconnected);
                     }
                 }
@@ -630,6 +634,7 @@
         let forward = Arc::new(forward);
         let aim = self.aims.get(class.0).copied().flatten().unwrap_or(client_timeout);
         let aim_at = received_at + aim.min(client_timeout);
+        let overdue_timer = self.set_overdue_timer(request, deadline);
         let open = OpenRequest {
             id,
             class,
@@ -639,7 +644,8 @@
             deadline,
             aim_at,
             client_timeout,
-            overdue_timer: None,
+            received: false,
+            overdue_timer,
         };
         self.open_requests.insert(request, open);
         if !is_upload {
@@ -650,22 +656,59 @@
         self.send_to_module(Event::RequestArrived { request, class, tenant, time_left });
     }
 
-    /// Counts a request as received and sets its deadline, now that its last byte has arrived.
+    /// Sets the timer at which a request is answered as failed if it has no answer by then.
+    fn set_overdue_timer(&mut self, request: RequestId, deadline: Deadline) -> (Instant, u64) {
+        let bound = request_bound::bound(RequestState::Queued(deadline));
+        self.set_timer(bound.at, Timer::AnswerOverdue(request))
+    }
+
+    /// Changes the deadline of an open request.
+    fn set_deadline(&mut self, request: RequestId, deadline: Deadline) {
+        let overdue_timer = self.set_overdue_timer(request, deadline);
+        if let Some(open) = self.open_requests.get_mut(&request) {
+            open.deadline = deadline;
+            let old_timer = std::mem::replace(&mut open.overdue_timer, overdue_timer);
+            self.timers.remove(&old_timer);
+        }
+    }
+
+    /// Counts a request as received and sets its deadline, now that its last byte has been written.
     fn mark_received(&mut self, request: RequestId, received_at: Instant) {
-        let Some(open) = self.open_requests.get(&request).filter(|open| open.overdue_timer.is_none()) else {
-            return;
-        };
+        let Some(open) = self.open_requests.get_mut(&request).filter(|open| !open.received) else { return };
+        open.received = true;
         // A request that arrives shortly before the process ends is answered before the end.
         let answers_due_by = self.lifecycle.borrow().answers_due_by();
         let deadline = Deadline::new(received_at, open.client_timeout, answers_due_by);
         self.metrics.count_accepted(open.class);
-        let overdue_timer = self.set_timer(
-            request_bound::bound(RequestState::Queued(deadline)).at,
-            Timer::AnswerOverdue(request),
-        );
-        if let Some(open) = self.open_requests.get_mut(&request) {
-            open.deadline = deadline;
-            open.overdue_timer = Some(overdue_timer);
+        self.set_deadline(request, deadline);
+    }
+
+    /// Extends the deadline of an upload whose client may not have had its time since it wrote the last byte.
+    /// Returns whether the deadline was extended.
+    fn extend_upload_deadline(&mut self, request: RequestId) -> bool {
+        let Some(open) = self.open_requests.get(&request).filter(|open| !open.received) else { return false };
+        let Some(upload) = open.forward.body.upload() else { return false };
+        upload.observe_client();
+        let deadline = Deadline::new(upload.last_incomplete_at(), open.client_timeout, None);
+        let extended = deadline.at() > open.deadline.at();
+        if extended {
+            self.set_deadline(request, deadline);
+        }
+        extended
+    }
+
+    /// Marks the uploads as received whose clients have written the last byte.
+    fn mark_written_uploads(&mut self) {
+        let mut written = Vec::new();
+        for (request, open) in self.open_requests.iter().filter(|(_, open)| !open.received) {
+            let Some(upload) = open.forward.body.upload() else { continue };
+            upload.observe_client();
+            if upload.state() == UploadState::Written {
+                written.push((*request, upload.last_incomplete_at()));
+            }
+        }
+        for (request, written_at) in written {
+            self.mark_received(request, written_at);
         }
     }
 
@@ -673,33 +716,28 @@
     /// process ends, once that time is known. Other requests get their deadlines when they are received.
     fn shorten_deadlines_to_process_end(&mut self) {
         let Some(answers_due_by) = self.lifecycle.borrow_and_update().answers_due_by() else { return };
+        self.mark_written_uploads();
         let too_late = self
             .open_requests
             .iter()
-            .filter(|(_, open)| open.overdue_timer.is_some() && open.deadline.at() > answers_due_by);
-        let to_shorten: Vec<RequestId> = too_late.map(|(request, _)| *request).collect();
-        for request in to_shorten {
-            let Some(open) = self.open_requests.get_mut(&request) else { continue };
-            open.deadline = open.deadline.capped_at(answers_due_by);
-            let (old_timer, new_bound) =
-                (open.overdue_timer.take(), request_bound::bound(RequestState::Queued(open.deadline)));
-            if let Some(timer) = old_timer {
-                self.timers.remove(&timer);
-            }
-            let overdue_timer = self.set_timer(new_bound.at, Timer::AnswerOverdue(request));
-            if let Some(open) = self.open_requests.get_mut(&request) {
-                open.overdue_timer = Some(overdue_timer);
-            }
+            .filter(|(_, open)| open.received && open.deadline.at() > answers_due_by)
+            .map(|(request, open)| (*request, open.deadline.capped_at(answers_due_by)));
+        for (request, deadline) in too_late.collect::<Vec<_>>() {
+            self.set_deadline(request, deadline);
         }
     }
 
     /// Handles a change in the upload that an attempt forwards.
     fn handle_upload_state(&mut self, attempt: AttemptInfo, state: UploadState) {
         let AttemptInfo { request, number, .. } = attempt;
-        if let UploadState::Complete(received_at) = state {
-            self.mark_received(request, received_at);
+        if matches!(state, UploadState::Written | UploadState::Complete(_)) {
+            let upload = self.open_requests.get(&request).and_then(|open| open.forward.body.upload());
+            if let Some(written_at) = upload.map(|upload| upload.last_incomplete_at()) {
+                self.mark_received(request, written_at);
+            }
         }
         if self.in_flight.contains_key(&(request, number)) {
+            // Once the client has written everything, only the server is waited for.
             let in_progress = state == UploadState::Receiving;
             self.send_to_module(Event::UploadProgress { request, attempt: number, in_progress });
         }
@@ -722,9 +760,7 @@
     /// Removes an open request with its overdue timer and its client's id.
     fn remove_request(&mut self, request: RequestId) -> Option<OpenRequest> {
         let open = self.open_requests.remove(&request)?;
-        if let Some(timer) = &open.overdue_timer {
-            self.timers.remove(timer);
-        }
+        self.timers.remove(&open.overdue_timer);
         self.open_client_ids.remove(&open.id);
         Some(open)
     }
@@ -742,13 +778,13 @@
             };
             self.answer_trace(&open, &description)
         });
-        match (&answer, open.overdue_timer) {
+        match (&answer, open.received) {
             // A request that is rejected before all of it was received does not count as accepted.
-            (FinalAnswer::Rejected(_), None) => return open.reply.send(answer).is_ok(),
+            (FinalAnswer::Rejected(_), false) => return open.reply.send(answer).is_ok(),
             // A request with any other final answer does, even if its body never arrived completely.
-            (_, None) => self.metrics.count_accepted(open.class),
+            (_, false) => self.metrics.count_accepted(open.class),
             // A received request has been counted.
-            (_, Some(_)) => {}
+            (_, true) => {}
         }
         match &answer {
             // A streamed answer counts as served once its last byte was passed on.
@@ -818,7 +854,8 @@
             Some(deadline) if !timeout.is_zero() => deadline.min(open.deadline.attempts_due_by()),
             _ => open.deadline.attempts_due_by(),
         };
-        let (aim_at, client_deadline) = (open.aim_at, open.deadline.at());
+        let (aim_at, client_deadline, client_timeout) =
+            (open.aim_at, open.deadline.at(), open.client_timeout);
         let incarnation = self.servers.get(upstream).map_or(0, |server| server.incarnation);
         let connect_by = now + self.connect_timeout;
         let attempt = AttemptInfo {
@@ -830,6 +867,7 @@
             connect_by,
             aim_at,
             client_deadline,
+            client_timeout,
         };
         let in_flight = InFlightAttempt {
             info: attempt,
@@ -992,7 +1030,7 @@
         let work_started_at = match upload_state {
             None => Some(in_flight.started_at),
             Some(UploadState::Complete(received_at)) => Some(received_at.max(in_flight.started_at)),
-            Some(UploadState::Receiving | UploadState::Failed(_)) => None,
+            Some(UploadState::Receiving | UploadState::Written | UploadState::Failed(_)) => None,
         };
         let latency = work_started_at.map_or(0.0, |started_at| started_at.elapsed().as_secs_f64() * 1e3);
         let report = answer.as_ref().and_then(|answer| {
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -450,7 +450,7 @@
 async fn handle_request(
     request: Request<Incoming>,
     front: &Front,
-    activity: &ConnectionActivity,
+    activity: &Arc<ConnectionActivity>,
 ) -> Response<AnswerBody> {
     if request.uri().path() == "/up" {
         let ready = front.metrics.ready.load(Ordering::Relaxed);
@@ -471,7 +471,9 @@
         Ok((buffered, None)) => RequestBody::Buffered(buffered),
         Ok((buffered, Some(rest))) => match front.transfers.try_acquire() {
             Some(permit) => {
-                RequestBody::Upload(Arc::new(Upload::new(buffered, rest, stated_length, head_at, permit)))
+                let activity = activity.clone();
+                let upload = Upload::new(buffered, rest, stated_length, head_at, activity, permit);
+                RequestBody::Upload(Arc::new(upload))
             }
             // Nothing has been executed, and there is no queue for uploads.
             None => return refused_response(TRANSFER_LIMIT_RETRY_AFTER_MS),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod request_bound;
 pub mod resource_limits;
 pub mod servers;
+pub mod socket_diagnostics;
 pub mod transfer;
 pub mod upstream;
 pub mod watch_liveness;
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -121,8 +121,10 @@
     pub connect_by: Instant,
     /// When the client should have its answer.
     pub aim_at: Instant,
-    /// When the client stops waiting.
+    /// When the client stops waiting; for an upload, if all of it had arrived with its first bytes.
     pub client_deadline: Instant,
+    /// How long the client waits, counted from the request's last byte.
+    pub client_timeout: Duration,
 }
 
 impl AttemptInfo {
--- a/crates/sidecar/src/request_bound.rs
+++ b/crates/sidecar/src/request_bound.rs
@@ -7,6 +7,7 @@
 //! | reading | the minimum rate of a body | 408 |
 //! | queued, no attempt in flight | the deadline less [`FINAL_ANSWER_MARGIN`] | 502 |
 //! | connecting | the connect timeout, or the attempt timeout if that is sooner | another attempt, or 502 |
+//! | sent, the upload incomplete | the deadline less [`ATTEMPT_MARGIN`], counted from the last time at which the client is known not to have written all of the body | 503 or 502 |
 //! | sent, answer begun or held back | the attempt timeout, at most the deadline less [`ATTEMPT_MARGIN`] | another attempt, or 502 |
 //! | streaming, the answer may be short | [`STREAM_GRACE`] after the deadline, if it makes no progress | a visibly truncated answer |
 //! | streaming, the answer is long | [`STREAM_IDLE_TIMEOUT`] without a byte | a visibly truncated answer |
@@ -117,6 +118,13 @@
     Queued(Deadline),
     /// Waits for a connection to an upstream.
     Connecting(AttemptTimes),
+    /// Sent in part: the rest of the body is still to come from the client, or to be taken by the upstream.
+    Uploading {
+        /// When the client was last known not to have written all of the body.
+        last_incomplete_at: Instant,
+        /// How long the client waits from its last byte on.
+        client_timeout: Duration,
+    },
     /// Waits for an upstream's answer, or for the rest of an answer no part of which has been forwarded.
     Sent(AttemptTimes),
     /// Waits for the rest of an answer that is being streamed.
@@ -157,6 +165,10 @@
         RequestState::Connecting(times) => {
             Bound { at: times.connect_by.min(times.times_out_at), answer: AnswerAtBound::AnotherAttempt }
         }
+        RequestState::Uploading { last_incomplete_at, client_timeout } => {
+            let deadline = Deadline::new(last_incomplete_at, client_timeout, None);
+            Bound { at: deadline.attempts_due_by(), answer: AnswerAtBound::BadGateway }
+        }
         RequestState::Sent(times) => Bound { at: times.times_out_at, answer: AnswerAtBound::AnotherAttempt },
         RequestState::Streaming(progress) => {
             Bound { at: stream_ends_at(&progress), answer: AnswerAtBound::TruncatedAnswer }
--- a/crates/sidecar/src/request_bound/tests.rs
+++ b/crates/sidecar/src/request_bound/tests.rs
@@ -47,6 +47,11 @@
         (RequestState::Queued(deadline_capped), less_margin(200), AnswerAtBound::BadGateway),
         (RequestState::Connecting(attempt(100, 400)), ms(100), AnswerAtBound::AnotherAttempt),
         (RequestState::Connecting(attempt(500, 400)), ms(400), AnswerAtBound::AnotherAttempt),
+        (
+            RequestState::Uploading { last_incomplete_at: start + ms(5_000), client_timeout: TIMEOUT },
+            ms(5_600) - ATTEMPT_MARGIN,
+            AnswerAtBound::BadGateway,
+        ),
         (RequestState::Sent(attempt(100, 400)), ms(400), AnswerAtBound::AnotherAttempt),
         // A short answer that stops before or after its deadline ends soon after the deadline.
         (streaming(start, 100, 1_000, None), ms(850), AnswerAtBound::TruncatedAnswer),
--- a/crates/sidecar/src/transfer/framing.rs
+++ b/crates/sidecar/src/transfer/framing.rs
@@ -98,6 +98,15 @@
         self.position == Position::Untracked
     }
 
+    /// Bytes of the current request's body that are still to come: 0 between requests, `None` if unknown.
+    pub fn body_bytes_left(&self) -> Option<u64> {
+        match self.position {
+            Position::Head => Some(0),
+            Position::Body(left) => Some(left),
+            Position::ChunkSize | Position::Chunk(_) | Position::Trailers | Position::Untracked => None,
+        }
+    }
+
     /// Whether a head has begun and is incomplete.
     pub fn in_head(&self) -> bool {
         self.position == Position::Head && (self.has_lines || self.line_length > 0)
--- a/crates/sidecar/src/transfer/mod.rs
+++ b/crates/sidecar/src/transfer/mod.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod answer_hold;
 pub mod body_buffer;
+pub mod client_progress;
 pub mod framing;
 pub mod limits;
 pub mod request_body;
--- a/crates/sidecar/src/transfer/upload.rs
+++ b/crates/sidecar/src/transfer/upload.rs
@@ -15,14 +15,19 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use super::client_progress::LastIncomplete;
 use super::limits::{MAX_BODY_BYTES, body_due_by};
 use crate::budget::TransferPermit;
+use crate::connection_activity::ConnectionActivity;
 
 /// The state of a streamed request body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UploadState {
     /// The body is incomplete, or has not been read yet.
     Receiving,
+    /// The client has written the last byte, and the kernel still holds a part of the body: the upstream takes
+    /// it more slowly than the client wrote it, or not at all.
+    Written,
     /// The body is complete; its last byte was received at this time.
     Complete(Instant),
     /// The body could not be read completely; the client gets this status.
@@ -50,6 +55,10 @@
     first_bytes_at: Instant,
     source: Mutex<Source>,
     state: watch::Sender<UploadState>,
+    /// The client's connection.
+    activity: Arc<ConnectionActivity>,
+    /// When the client is known not to have written all of the body.
+    last_incomplete: Mutex<LastIncomplete>,
     _permit: TransferPermit,
 }
 
@@ -59,22 +68,27 @@
 }
 
 impl Upload {
-    /// An upload of which the first bytes have been read; its head was received at `head_at`.
+    /// An upload of which the first bytes have been read over the connection with this activity; its head was
+    /// received at `head_at`.
     pub fn new(
         first_bytes: Bytes,
         rest: Incoming,
         length: Option<u64>,
         head_at: Instant,
+        activity: Arc<ConnectionActivity>,
         permit: TransferPermit,
     ) -> Upload {
         let source = Mutex::new(Source::Unread(Box::new(rest)));
+        let first_bytes_at = Instant::now();
         Upload {
             first_bytes,
             length,
             head_at,
-            first_bytes_at: Instant::now(),
+            first_bytes_at,
             source,
             state: watch::Sender::new(UploadState::Receiving),
+            activity,
+            last_incomplete: Mutex::new(LastIncomplete::new(first_bytes_at)),
             _permit: permit,
         }
     }
@@ -102,11 +116,32 @@
     /// Waits until the body is complete or has failed.
     pub async fn wait_until_settled(&self) -> UploadState {
         let mut states = self.state.subscribe();
+        let is_settled =
+            |state: &UploadState| !matches!(state, UploadState::Receiving | UploadState::Written);
         // Waiting cannot fail: `self` owns the sender.
-        let _ = states.wait_for(|state| *state != UploadState::Receiving).await;
+        let _ = states.wait_for(is_settled).await;
         self.state()
     }
 
+    /// The last time at which the client is known not to have written all of the body; the client's time runs
+    /// from then.
+    pub fn last_incomplete_at(&self) -> Instant {
+        lock(&self.last_incomplete).at()
+    }
+
+    /// Finds out how much of the body the client has written, as far as it is not known already, and updates
+    /// the state.
+    pub fn observe_client(&self) {
+        let mut last_incomplete = lock(&self.last_incomplete);
+        if self.state() != UploadState::Receiving {
+            return;
+        }
+        last_incomplete.record(Instant::now(), self.activity.client_progress());
+        if last_incomplete.is_complete() {
+            self.state.send_replace(UploadState::Written);
+        }
+    }
+
     /// Takes the body for an attempt; `None` if it can no longer be sent.
     pub fn take_stream(this: &Arc<Upload>) -> Option<UploadStream> {
         match std::mem::replace(&mut *lock(&this.source), Source::Taken) {
@@ -164,7 +199,7 @@
     }
 
     fn complete(&mut self) {
-        if self.upload.state() == UploadState::Receiving {
+        if matches!(self.upload.state(), UploadState::Receiving | UploadState::Written) {
             self.upload.state.send_replace(UploadState::Complete(Instant::now()));
         }
     }
@@ -179,6 +214,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, UploadError>>> {
         let this = &mut *self;
+        lock(&this.upload.last_incomplete).record_reading(Instant::now());
         if let Some(since) = this.not_polled_since.take() {
             this.not_polled_for += since.elapsed();
             let counted_from = this.upload.head_at + this.not_polled_for;
@@ -211,7 +247,10 @@
                     this.rest_was_read = true;
                     return this.fail(StatusCode::REQUEST_TIMEOUT);
                 }
-                Poll::Pending => return Poll::Pending,
+                Poll::Pending => {
+                    lock(&this.upload.last_incomplete).record_waiting();
+                    return Poll::Pending;
+                }
             }
         }
     }
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -32,6 +33,9 @@
 use crate::transfer::stall_timeout::StallTimeout;
 use crate::transfer::upload::{Upload, UploadState};
 
+/// How often an upload is checked for the end of its client's writing.
+const CLIENT_PROGRESS_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Why an exchange yielded no answer.
 enum ExchangeError {
     /// The connection broke or was closed.
@@ -352,7 +356,6 @@
         return return_connection(Some(connection), attempt.upstream, attempt.incarnation, &events);
     }
     let (meter, local_port) = (connection.meter.clone(), connection.local_port);
-    let client_time_left = attempt.client_deadline.saturating_duration_since(Instant::now());
     meter.begin_exchange(Some((context.metrics.clone(), context.stall_timeout.clone())), write_conditions);
     let upload = body.upload().cloned();
     *request.body_mut() = match body {
@@ -417,9 +420,9 @@
                             });
                         }
                     });
-                    let deadline = match upload.as_deref().map(Upload::state) {
-                        Some(UploadState::Complete(received_at)) => received_at + client_time_left,
-                        _ => attempt.client_deadline,
+                    let deadline = match upload.as_deref() {
+                        Some(upload) => upload.last_incomplete_at() + attempt.client_timeout,
+                        None => attempt.client_deadline,
                     };
                     let estimates = answer::StreamEstimates {
                         stall_timeout: context.stall_timeout.clone(),
@@ -499,19 +502,52 @@
     let until = bound(RequestState::Sent(attempt.times())).at;
     let Some(upload) = upload else { return sleep_until(until).await };
     let timeout = until.saturating_duration_since(Instant::now());
+    let report = |state| events.send(UpstreamEvent::UploadStateChanged(*attempt, state));
     if upload.state() == UploadState::Receiving {
-        events.send(UpstreamEvent::UploadStateChanged(*attempt, UploadState::Receiving));
+        report(UploadState::Receiving);
     }
-    match upload.wait_until_settled().await {
+    let state = tokio::select! {
+        biased;
+        state = upload.wait_until_settled() => state,
+        () = wait_until_upload_times_out(attempt, upload, report) => return,
+    };
+    match state {
         UploadState::Complete(received_at) => {
-            events.send(UpstreamEvent::UploadStateChanged(*attempt, UploadState::Complete(received_at)));
-            sleep_until(received_at + timeout).await;
+            report(state);
+            // The client may have written its last byte long before the upstream took it.
+            sleep_until(upload_bound(attempt, upload).min(received_at + timeout)).await;
         }
         // The incomplete body ends the exchange.
-        UploadState::Receiving | UploadState::Failed(_) => std::future::pending().await,
+        UploadState::Receiving | UploadState::Written | UploadState::Failed(_) => {
+            std::future::pending().await
+        }
     }
 }
 
+/// Returns when the time of a client may have passed that was not seen to write during it. An upload whose
+/// upstream takes no bytes is not read, so its end may wait in the kernel.
+async fn wait_until_upload_times_out(
+    attempt: &AttemptInfo,
+    upload: &Upload,
+    report: impl Fn(UploadState) -> bool,
+) {
+    while Instant::now() < upload_bound(attempt, upload) {
+        sleep_until(upload_bound(attempt, upload).min(Instant::now() + CLIENT_PROGRESS_INTERVAL)).await;
+        let before = upload.state();
+        upload.observe_client();
+        if upload.state() != before {
+            report(upload.state());
+        }
+    }
+}
+
+/// The time bound of an attempt that forwards an upload.
+fn upload_bound(attempt: &AttemptInfo, upload: &Upload) -> Instant {
+    let last_incomplete_at = upload.last_incomplete_at();
+    let client_timeout = attempt.client_timeout;
+    bound(RequestState::Uploading { last_incomplete_at, client_timeout }).at
+}
+
 /// Probes an upstream and reports its answer, if the answer is complete by `probe_by`.
 pub async fn run_probe(
     connection: ProbeConnection,
--- a/crates/sidecar/src/upstream/tests.rs
+++ b/crates/sidecar/src/upstream/tests.rs
@@ -36,6 +36,7 @@
         connect_by: deadline,
         aim_at: deadline,
         client_deadline: deadline,
+        client_timeout: LONG_TIMEOUT,
     };
     (connection, attempt)
 }
