--- a/crates/cli/tests/loopback/uploads.rs
+++ b/crates/cli/tests/loopback/uploads.rs
@@ -1,4 +1,6 @@
-//! Requests with long bodies.
+//! Requests with long bodies, and upstreams that handle their connections themselves.
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
 
 use super::request;
 
@@ -26,3 +28,15 @@
     let chunks: Vec<u8> = body.chunks(size).flat_map(chunk).collect();
     [&chunks[..], b"0\r\nX-Sum: 7\r\n\r\n"].concat()
 }
+
+/// An upstream that passes each connection to a function.
+pub fn start_upstream(serve: fn(TcpStream)) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
--- a/crates/cli/tests/upload_deadlines.rs
+++ b/crates/cli/tests/upload_deadlines.rs
@@ -4,10 +4,10 @@
 mod loopback;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-use loopback::uploads::{chunked, patterned_body, upload_head};
+use loopback::uploads::{chunked, patterned_body, start_upstream, upload_head};
 use loopback::*;
 
 /// Longer than the socket buffers towards an upstream, and short enough for those of both connections.
@@ -16,18 +16,6 @@
 /// An answer that comes later than this after the client's time counts as lost.
 const LATE_ANSWER_LIMIT: Duration = Duration::from_millis(500);
 
-/// An upstream that passes each connection to a function.
-fn start_upstream(serve: fn(TcpStream)) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            std::thread::spawn(move || serve(stream));
-        }
-    });
-    address
-}
-
 /// Answers probes, and reads no more of a connection once the first bytes of an upload have come.
 fn serve_probes_only(mut stream: TcpStream) {
     let mut buffer = vec![0; 4 << 10];
--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -1,13 +1,23 @@
-//! Limits of the connections and transfers of an instance. The instance's owner sets the limits; a permit is
+//! Limits of the connections and buffers of an instance. The instance's owner sets the limits; a permit is
 //! returned when it is dropped.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use crate::resource_limits::TRANSFER_KIB;
+
+const KIB: usize = 1 << 10;
+/// Part of a budget that may be used for buffers that their owners can do without.
+const SPARE_DIVISOR: usize = 4;
+/// A process whose share is smaller than this many long bodies still has the memory for so many, out of its own
+/// share of the memory limit: without it no larger answer could be passed on.
+const MIN_TRANSFERS_PER_PROCESS: usize = 1;
+
 /// A limit of concurrently held permits. The limit may change while permits are held: if it shrinks below the
 /// number of held permits, these stay valid, and no more are given out until enough have been returned.
 #[derive(Debug, Clone)]
@@ -72,7 +82,7 @@
     pub clients: usize,
     /// Connections to upstreams.
     pub upstreams: usize,
-    /// Bodies that are streamed instead of buffered.
+    /// Long bodies for which the memory of the large buffers suffices.
     pub transfers: usize,
 }
 
@@ -87,85 +97,156 @@
     }
 }
 
-/// A limit of concurrent transfers. Unlike with a [`Quota`], a permit can be waited for.
+/// The memory that the large buffers of an instance draw on: those of long bodies that are streamed
+/// ([`TRANSFER_KIB`] each), of bodies that are held whole, and of requests that are read ahead. Unlike with a
+/// [`Quota`], a permit can be waited for; who waits longest gets the next one.
 #[derive(Debug, Clone)]
-pub struct TransferLimit(Arc<TransferState>);
+pub struct BufferBudget(Arc<BufferState>);
 
 #[derive(Debug)]
-struct TransferState {
+struct BufferState {
+    /// One permit for each KiB.
     semaphore: Arc<Semaphore>,
-    limit: AtomicUsize,
-    /// Number of held permits above a limit that has shrunk. That many permits are discarded instead of
-    /// returned when they are dropped.
-    excess: Mutex<usize>,
+    limit_kib: AtomicUsize,
+    /// KiB held above a limit that has shrunk. As many are discarded instead of returned when permits are
+    /// dropped.
+    excess_kib: Mutex<usize>,
 }
 
-impl TransferLimit {
-    /// Creates a limit of `limit` permits.
-    pub fn new(limit: usize) -> TransferLimit {
-        let limit = limit.min(Semaphore::MAX_PERMITS);
-        let semaphore = Arc::new(Semaphore::new(limit));
-        TransferLimit(Arc::new(TransferState {
+impl BufferBudget {
+    /// Creates a budget for `transfers` long bodies at the same time.
+    pub fn new(transfers: usize) -> BufferBudget {
+        let limit_kib = kib_of_transfers(transfers);
+        let semaphore = Arc::new(Semaphore::new(limit_kib));
+        BufferBudget(Arc::new(BufferState {
             semaphore,
-            limit: AtomicUsize::new(limit),
-            excess: Mutex::new(0),
+            limit_kib: AtomicUsize::new(limit_kib),
+            excess_kib: Mutex::new(0),
         }))
     }
 
-    /// Takes a permit, if one is available.
-    pub fn try_acquire(&self) -> Option<TransferPermit> {
-        let permit = self.0.semaphore.clone().try_acquire_owned().ok()?;
-        Some(TransferPermit { permit: Some(permit), state: self.0.clone() })
+    /// Takes the memory for a long body, if it is available.
+    pub fn try_acquire_transfer(&self) -> Option<BufferPermit> {
+        self.try_acquire_kib(TRANSFER_KIB)
     }
 
-    /// Waits for a permit.
-    pub async fn acquire(&self) -> Option<TransferPermit> {
-        // The semaphore is never closed, so this never fails.
-        let permit = self.0.semaphore.clone().acquire_owned().await.ok()?;
-        Some(TransferPermit { permit: Some(permit), state: self.0.clone() })
+    /// Takes the memory for a long body of which the first bytes are held under the permit `held`, if there is
+    /// one. `None` if the memory is not available.
+    pub fn try_extend_to_transfer(&self, held: Option<BufferPermit>) -> Option<BufferPermit> {
+        let Some(mut held) = held else { return self.try_acquire_transfer() };
+        let missing_kib = TRANSFER_KIB.saturating_sub(held.kib());
+        held.merge(self.try_acquire_kib(missing_kib)?);
+        Some(held)
     }
 
-    /// How many permits may be held.
+    /// Waits for the memory for a long body.
+    pub async fn acquire_transfer(&self) -> Option<BufferPermit> {
+        self.acquire_kib(TRANSFER_KIB).await
+    }
+
+    /// Waits for the memory for a buffer of this size.
+    pub async fn acquire_bytes(&self, bytes: usize) -> Option<BufferPermit> {
+        self.acquire_kib(bytes.div_ceil(KIB)).await
+    }
+
+    /// Takes the memory for a buffer that its owner can do without. Most of the budget is kept for others.
+    pub fn try_acquire_spare_bytes(&self, bytes: usize) -> Option<BufferPermit> {
+        let kib = bytes.div_ceil(KIB);
+        let limit_kib = self.0.limit_kib.load(Ordering::Relaxed);
+        let reserve_kib = limit_kib - limit_kib / SPARE_DIVISOR;
+        (self.0.semaphore.available_permits() >= reserve_kib + kib)
+            .then(|| self.try_acquire_kib(kib))
+            .flatten()
+    }
+
+    fn try_acquire_kib(&self, kib: usize) -> Option<BufferPermit> {
+        let permit = self.0.semaphore.clone().try_acquire_many_owned(u32::try_from(kib).ok()?).ok()?;
+        Some(BufferPermit { permit: Some(permit), state: self.0.clone() })
+    }
+
+    async fn acquire_kib(&self, kib: usize) -> Option<BufferPermit> {
+        // The semaphore is never closed, so that acquiring does not fail.
+        let permit = self.0.semaphore.clone().acquire_many_owned(u32::try_from(kib).ok()?).await.ok()?;
+        Some(BufferPermit { permit: Some(permit), state: self.0.clone() })
+    }
+
+    /// How many long bodies the budget is for.
     pub fn limit(&self) -> usize {
-        self.0.limit.load(Ordering::Relaxed)
+        self.0.limit_kib.load(Ordering::Relaxed) / TRANSFER_KIB
     }
 
-    /// How many permits are held.
+    /// For how many long bodies the memory is in use, rounded up.
     pub fn in_use(&self) -> usize {
-        let excess = *self.0.excess.lock().unwrap_or_else(PoisonError::into_inner);
-        (self.limit() + excess).saturating_sub(self.0.semaphore.available_permits())
+        let excess_kib = *self.0.excess_kib.lock().unwrap_or_else(PoisonError::into_inner);
+        let held_kib = (self.0.limit_kib.load(Ordering::Relaxed) + excess_kib)
+            .saturating_sub(self.0.semaphore.available_permits());
+        held_kib.div_ceil(TRANSFER_KIB)
     }
 
     /// Changes the limit. Held permits above a smaller limit stay valid until they are returned.
-    pub fn set_limit(&self, limit: usize) {
-        let limit = limit.min(Semaphore::MAX_PERMITS);
-        let mut excess = self.0.excess.lock().unwrap_or_else(PoisonError::into_inner);
-        let previous = self.0.limit.swap(limit, Ordering::Relaxed);
+    pub fn set_limit(&self, transfers: usize) {
+        let limit_kib = kib_of_transfers(transfers);
+        let mut excess_kib = self.0.excess_kib.lock().unwrap_or_else(PoisonError::into_inner);
+        let previous_kib = self.0.limit_kib.swap(limit_kib, Ordering::Relaxed);
         // A larger limit first covers held permits above the previous one.
-        let added = limit.saturating_sub(previous);
-        let covered = added.min(*excess);
+        let added = limit_kib.saturating_sub(previous_kib);
+        let covered = added.min(*excess_kib);
         self.0.semaphore.add_permits(added - covered);
-        *excess = *excess - covered + previous.saturating_sub(limit);
-        *excess -= self.0.semaphore.forget_permits(*excess);
+        *excess_kib = *excess_kib - covered + previous_kib.saturating_sub(limit_kib);
+        *excess_kib -= self.0.semaphore.forget_permits(*excess_kib);
     }
 }
 
-/// One permit of a [`TransferLimit`]; returned when dropped.
+fn kib_of_transfers(transfers: usize) -> usize {
+    transfers.saturating_mul(TRANSFER_KIB).min(Semaphore::MAX_PERMITS)
+}
+
+/// Memory of a [`BufferBudget`]; returned when dropped.
 #[derive(Debug)]
-pub struct TransferPermit {
+pub struct BufferPermit {
     permit: Option<OwnedSemaphorePermit>,
-    state: Arc<TransferState>,
+    state: Arc<BufferState>,
 }
 
-impl Drop for TransferPermit {
-    fn drop(&mut self) {
-        let Some(permit) = self.permit.take() else { return };
-        let mut excess = self.state.excess.lock().unwrap_or_else(PoisonError::into_inner);
-        if *excess > 0 {
-            *excess -= 1;
-            permit.forget();
+impl BufferPermit {
+    /// The size of the memory in KiB.
+    pub fn kib(&self) -> usize {
+        self.permit.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
+    }
+
+    /// Adds the memory of another permit of the same budget.
+    fn merge(&mut self, mut other: BufferPermit) {
+        if let (Some(permit), Some(other)) = (&mut self.permit, other.permit.take()) {
+            permit.merge(other);
         }
     }
+
+    /// Ties the memory to its buffer: it is returned when the last reference to the bytes is dropped.
+    pub fn attach_to(self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(PermittedBytes { bytes, _permit: self })
+    }
+}
+
+impl Drop for BufferPermit {
+    fn drop(&mut self) {
+        let Some(mut permit) = self.permit.take() else { return };
+        let mut excess_kib = self.state.excess_kib.lock().unwrap_or_else(PoisonError::into_inner);
+        let discarded = permit.num_permits().min(*excess_kib);
+        *excess_kib -= discarded;
+        permit.split(discarded).into_iter().for_each(OwnedSemaphorePermit::forget);
+    }
+}
+
+/// A buffer together with the permit for its memory.
+struct PermittedBytes {
+    bytes: Bytes,
+    _permit: BufferPermit,
+}
+
+impl AsRef<[u8]> for PermittedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 /// A limit shared by several instances: how many connections the process may have to one upstream.
@@ -189,8 +270,8 @@
     pub clients: Quota,
     /// Connections to upstreams.
     pub upstreams: Quota,
-    /// Bodies that are streamed instead of buffered, in both directions.
-    pub transfers: TransferLimit,
+    /// Memory of the large buffers, in both directions.
+    pub buffers: BufferBudget,
     /// The limit shared with other instances, if any.
     pub shared: Option<Arc<dyn SharedConnections>>,
 }
@@ -206,7 +287,7 @@
         Budgets {
             clients: Quota::new(connections),
             upstreams: Quota::new(connections),
-            transfers: TransferLimit::new(transfers),
+            buffers: BufferBudget::new(transfers),
             shared: None,
         }
     }
@@ -216,7 +297,7 @@
         ResourceCounts {
             clients: self.clients.limit(),
             upstreams: self.upstreams.limit(),
-            transfers: self.transfers.limit(),
+            transfers: self.buffers.limit(),
         }
     }
 
@@ -225,7 +306,7 @@
         ResourceCounts {
             clients: self.clients.in_use(),
             upstreams: self.upstreams.in_use(),
-            transfers: self.transfers.in_use(),
+            transfers: self.buffers.in_use(),
         }
     }
 
@@ -233,7 +314,7 @@
     pub fn set_limits(&self, limits: ResourceCounts) {
         self.clients.set_limit(limits.clients);
         self.upstreams.set_limit(limits.upstreams);
-        self.transfers.set_limit(limits.transfers);
+        self.buffers.set_limit(limits.transfers.max(MIN_TRANSFERS_PER_PROCESS));
     }
 
     /// Takes a permit for one more connection to this address, if one is available.
@@ -266,27 +347,27 @@
 
     #[test]
     fn transfer_limit_can_shrink_and_grow_while_permits_are_held() {
-        let transfers = TransferLimit::new(4);
-        let mut permits: Vec<_> = (0..3).filter_map(|_| transfers.try_acquire()).collect();
+        let transfers = BufferBudget::new(4);
+        let mut permits: Vec<_> = (0..3).filter_map(|_| transfers.try_acquire_transfer()).collect();
         transfers.set_limit(1);
         assert_eq!((transfers.in_use(), transfers.limit()), (3, 1));
         permits.pop();
-        assert!(transfers.try_acquire().is_none(), "two permits are held, and the limit is one");
+        assert!(transfers.try_acquire_transfer().is_none(), "two permits are held, and the limit is one");
         transfers.set_limit(3);
-        assert!(transfers.try_acquire().is_some());
+        assert!(transfers.try_acquire_transfer().is_some());
         permits.clear();
         assert_eq!(transfers.in_use(), 0);
-        let all: Vec<_> = std::iter::from_fn(|| transfers.try_acquire()).collect();
+        let all: Vec<_> = std::iter::from_fn(|| transfers.try_acquire_transfer()).collect();
         assert_eq!(all.len(), 3);
         let mut rng = oorandom::Rand64::new(6);
-        let (transfers, mut permits) = (TransferLimit::new(20), Vec::new());
+        let (transfers, mut permits) = (BufferBudget::new(20), Vec::new());
         for _ in 0..20_000 {
             match rng.rand_range(0..5) {
                 0 => transfers.set_limit(rng.rand_range(0..40) as usize),
                 1 | 2 => drop(permits.pop()),
                 _ => {
                     let before = permits.len();
-                    permits.extend(transfers.try_acquire());
+                    permits.extend(transfers.try_acquire_transfer());
                     assert!(permits.len() == before || permits.len() <= transfers.limit());
                 }
             }
@@ -294,7 +375,38 @@
         }
         permits.clear();
         transfers.set_limit(7);
-        assert_eq!(std::iter::from_fn(|| transfers.try_acquire()).map(std::mem::forget).count(), 7);
+        assert_eq!(std::iter::from_fn(|| transfers.try_acquire_transfer()).map(std::mem::forget).count(), 7);
+    }
+
+    /// Guards the memory limit against buffers that outlive their permits.
+    #[tokio::test]
+    async fn memory_of_a_buffer_is_returned_with_the_last_reference_to_its_bytes() {
+        let budget = BufferBudget::new(1);
+        let permit = budget.acquire_bytes(100 * KIB).await.expect("memory");
+        let bytes = permit.attach_to(Bytes::from(vec![7; 100 * KIB]));
+        assert!(budget.try_acquire_transfer().is_none());
+        let part = bytes.slice(5..9);
+        drop(bytes);
+        assert!(budget.try_acquire_transfer().is_none(), "a part of the buffer is still in use");
+        drop(part);
+        assert!(budget.try_acquire_transfer().is_some());
+    }
+
+    #[tokio::test]
+    async fn memory_of_the_first_bytes_counts_towards_that_of_their_long_body() {
+        let budget = BufferBudget::new(2);
+        let held = budget.acquire_bytes(96 * KIB).await;
+        let permit = budget.try_extend_to_transfer(held).expect("memory");
+        assert_eq!((permit.kib(), budget.in_use()), (TRANSFER_KIB, 1));
+        assert!(budget.try_extend_to_transfer(None).is_some());
+    }
+
+    #[tokio::test]
+    async fn spare_memory_leaves_most_of_the_budget_to_others() {
+        let budget = BufferBudget::new(4);
+        let spare: Vec<_> = std::iter::from_fn(|| budget.try_acquire_spare_bytes(64 * KIB)).collect();
+        assert_eq!(spare.len(), 4);
+        assert!((0..3).map(|_| budget.try_acquire_transfer()).all(|permit| permit.is_some()));
     }
 
     #[test]
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep};
 
+use crate::budget::{BufferBudget, BufferPermit};
 use crate::client_disconnect::{ClientConnection, SharedStream};
 use crate::connection_activity::ConnectionActivity;
 use crate::io_counts;
@@ -32,10 +33,17 @@
 /// the client's pace would not show.
 const SEND_BUFFER_BYTES: usize = 256 << 10;
 
-/// Most bytes that are read and kept behind an open request, as many as a buffered body may have; the rest
-/// stays in the kernel. hyper stops reading while its own buffer holds pipelined bytes, and would not notice
+/// Bytes behind an open request that every connection may read and keep.
+const UNCHARGED_READ_AHEAD_BYTES: usize = 4 << 10;
+/// Size of one read behind an open request.
+const READ_AHEAD_CHUNK_BYTES: usize = 4 << 10;
+/// Most bytes that are read and kept behind an open request while memory is to spare, as many as a buffered body
+/// may have; the rest stays in the kernel. hyper stops reading while its own buffer holds pipelined bytes, and would not notice
 /// that the client disconnects.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
+/// Most bytes of a short chunked body that are read at once: less than hyper's smallest buffer, which grows when
+/// it is filled.
+const MAX_CHUNKED_READ_BYTES: usize = (8 << 10) - 1;
 /// While the read-ahead buffer is full, the kernel is asked this often whether the client has disconnected. A
 /// request must not be sent to an upstream later than 0.3 s after its client has disconnected.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -52,6 +60,10 @@
     /// Bytes received behind the open request, and when the last of them arrived.
     read_ahead: BytesMut,
     read_ahead_at: Instant,
+    /// The memory of more than [`UNCHARGED_READ_AHEAD_BYTES`].
+    read_ahead_permit: Option<BufferPermit>,
+    /// The budget of that memory.
+    buffers: BufferBudget,
     /// Tracks the request that begins with the first read-ahead byte, and how many bytes of it have been fed.
     next_framing: Framing,
     next_framed_bytes: usize,
@@ -63,7 +75,7 @@
 
 impl Client {
     /// Wraps the stream of an accepted connection.
-    pub fn new(stream: TcpStream, activity: Arc<ConnectionActivity>) -> Client {
+    pub fn new(stream: TcpStream, activity: Arc<ConnectionActivity>, buffers: BufferBudget) -> Client {
         // Without the smaller buffer the client's pace cannot be measured, but it can still be served.
         let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
         let stream = Arc::new(Mutex::new(stream));
@@ -74,6 +86,8 @@
             framing: Framing::default(),
             read_ahead: BytesMut::new(),
             read_ahead_at: Instant::now(),
+            read_ahead_permit: None,
+            buffers,
             next_framing: Framing::default(),
             next_framed_bytes: 0,
             disconnect_check: None,
@@ -110,6 +124,61 @@
         }
     }
 
+    /// Most bytes that may be kept behind the open request.
+    fn max_read_ahead(&self) -> usize {
+        if self.read_ahead_permit.is_some() { MAX_READ_AHEAD_BYTES } else { UNCHARGED_READ_AHEAD_BYTES }
+    }
+
+    /// Whether no more bytes may be kept behind the open request. Takes memory for more if there is some to
+    /// spare.
+    fn is_read_ahead_full(&mut self) -> bool {
+        if self.read_ahead.len() >= UNCHARGED_READ_AHEAD_BYTES && self.read_ahead_permit.is_none() {
+            self.extend_read_ahead();
+        }
+        self.read_ahead.len() >= self.max_read_ahead()
+    }
+
+    /// Takes memory for [`MAX_READ_AHEAD_BYTES`], if there is some to spare.
+    fn extend_read_ahead(&mut self) {
+        let capacity = MAX_READ_AHEAD_BYTES + READ_AHEAD_CHUNK_BYTES;
+        self.read_ahead_permit = self.buffers.try_acquire_spare_bytes(capacity);
+        if self.read_ahead_permit.is_some() {
+            // At its full size at once: a buffer that grows by doubling would exceed the permit.
+            self.read_ahead.reserve(capacity.saturating_sub(self.read_ahead.len()));
+        }
+    }
+
+    /// Removes bytes from the beginning of the read-ahead buffer, and returns its memory once it is empty.
+    fn consume_read_ahead(&mut self, bytes: usize) {
+        self.read_ahead.advance(bytes);
+        if self.read_ahead.is_empty() && self.read_ahead_permit.is_some() {
+            self.read_ahead = BytesMut::new();
+            self.read_ahead_permit = None;
+        }
+    }
+
+    /// Most bytes to read at once, so that little is read behind the current request, and hyper's buffer does not
+    /// grow for a body that has no memory of the budget. `None` if hyper's buffer is the limit.
+    fn max_read_bytes(&self) -> Option<usize> {
+        match self.framing.body_bytes_left() {
+            Some(0) => None,
+            Some(left) => usize::try_from(left).ok()?.checked_add(UNCHARGED_READ_AHEAD_BYTES),
+            None => (!self.activity.has_long_body()).then_some(MAX_CHUNKED_READ_BYTES),
+        }
+    }
+
+    /// Reads from the socket.
+    fn poll_read_current(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let max_bytes = self.max_read_bytes().filter(|max_bytes| *max_bytes < buf.remaining());
+        let mut stream = lock(&self.stream);
+        let Some(max_bytes) = max_bytes else { return Pin::new(&mut *stream).poll_read(cx, buf) };
+        let mut limited = ReadBuf::new(buf.initialize_unfilled_to(max_bytes));
+        ready!(Pin::new(&mut *stream).poll_read(cx, &mut limited))?;
+        let read = limited.filled().len();
+        buf.advance(read);
+        Poll::Ready(Ok(()))
+    }
+
     /// Keeps bytes received behind a request.
     fn push_read_ahead(&mut self, bytes: &[u8]) {
         if !bytes.is_empty() {
@@ -127,7 +196,7 @@
             self.next_framed_bytes += self.next_framing.feed(&self.read_ahead[self.next_framed_bytes..]);
         }
         let waits =
-            self.next_framing.complete_requests() > 0 || self.read_ahead.len() >= MAX_READ_AHEAD_BYTES;
+            self.next_framing.complete_requests() > 0 || self.read_ahead.len() >= self.max_read_ahead();
         // Until the current request is complete, the read-ahead bytes are still part of it.
         self.activity.set_next_request((waits && self.has_open_request()).then_some(self.read_ahead_at));
     }
@@ -135,8 +204,8 @@
     /// While a request is open: reads ahead, and is ready only when the client has disconnected.
     fn poll_disconnect(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.activity.wake_when_answered(cx.waker());
-        let mut chunk = [0; 4 << 10];
-        while self.read_ahead.len() < MAX_READ_AHEAD_BYTES {
+        let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
+        while !self.is_read_ahead_full() {
             let mut buffer = ReadBuf::new(&mut chunk);
             let result = Pin::new(&mut *lock(&self.stream)).poll_read(cx, &mut buffer);
             io_counts::record_read(&result, buffer.filled().len());
@@ -213,7 +282,7 @@
             let available = this.read_ahead.len().min(buf.remaining());
             let fed = feed(&mut this.framing, &this.activity, &this.read_ahead[..available]);
             buf.put_slice(&this.read_ahead[..fed]);
-            this.read_ahead.advance(fed);
+            this.consume_read_ahead(fed);
             (this.next_framing, this.next_framed_bytes) = (Framing::default(), 0);
             this.update_next_request();
             return Poll::Ready(Ok(()));
@@ -222,7 +291,7 @@
             return Poll::Ready(Ok(()));
         }
         let before = buf.filled().len();
-        let result = Pin::new(&mut *lock(&this.stream)).poll_read(cx, buf);
+        let result = this.poll_read_current(cx, buf);
         let read = buf.filled().get(before..).unwrap_or_default();
         io_counts::record_read(&result, read.len());
         if !read.is_empty() {
@@ -307,6 +376,7 @@
         let mut client = Client::new(
             listener.accept().await.unwrap().0,
             Arc::new(ConnectionActivity::new(tokio::time::Instant::now())),
+            BufferBudget::new(1),
         );
         // These bytes are unread when the stream is closed.
         peer.write_all(&[b'x'; 1_000]).unwrap();
@@ -324,6 +394,37 @@
         closing.await.unwrap();
     }
 
+    /// Guards the memory limit against requests that are read ahead: only a little of them without memory of the
+    /// budget, and no more than there is memory for.
+    #[tokio::test]
+    async fn bytes_behind_an_open_request_are_read_only_if_there_is_memory_for_them() {
+        for (transfers, max_bytes) in [(0, UNCHARGED_READ_AHEAD_BYTES), (8, MAX_READ_AHEAD_BYTES)] {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut peer = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+            let activity = Arc::new(ConnectionActivity::new(tokio::time::Instant::now()));
+            let stream = listener.accept().await.unwrap().0;
+            let buffers = BufferBudget::new(transfers);
+            let mut client = Client::new(stream, activity.clone(), buffers.clone());
+            peer.write_all(b"POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n").unwrap();
+            let head_bytes = tokio::io::AsyncReadExt::read(&mut client, &mut [0; 100]).await.unwrap();
+            assert!(head_bytes > 0);
+            peer.write_all(&[b'x'; 300_000]).unwrap();
+            let mut buffer = vec![0; 32 << 10];
+            let mut body_bytes = 0;
+            while body_bytes < 20_000 {
+                body_bytes += tokio::io::AsyncReadExt::read(&mut client, &mut buffer).await.unwrap();
+            }
+            // The request is open now: hyper waits for the client to disconnect.
+            let disconnected = tokio::io::AsyncReadExt::read(&mut client, &mut buffer);
+            let waited = tokio::time::timeout(Duration::from_millis(300), disconnected).await;
+            assert!(waited.is_err(), "the client is still connected");
+            let kept = client.read_ahead.len();
+            assert!(kept >= max_bytes && kept < max_bytes + READ_AHEAD_CHUNK_BYTES, "{kept} bytes");
+            assert_eq!(buffers.in_use() > 0, transfers > 0);
+            assert!(client.read_ahead.capacity() <= max_bytes + 2 * READ_AHEAD_CHUNK_BYTES);
+        }
+    }
+
     #[tokio::test]
     async fn shutdown_does_not_wait_long_for_a_client_that_keeps_its_side_open() {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -331,6 +432,7 @@
         let mut client = Client::new(
             listener.accept().await.unwrap().0,
             Arc::new(ConnectionActivity::new(tokio::time::Instant::now())),
+            BufferBudget::new(1),
         );
         tokio::time::timeout(Duration::from_secs(30), client.shutdown()).await.unwrap().unwrap();
         drop(client);
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -186,7 +186,7 @@
             Config::parse(MINIMAL.replace("{\"listen", "{\"limits\":{\"memory_mb\":16},\"listen").as_bytes());
         assert_eq!(
             little_memory.unwrap().resource_limits().unwrap().connections,
-            53,
+            35,
             "memory, not descriptors, is the limit"
         );
         assert!(config.initial_host_list.is_none());
--- a/crates/sidecar/src/connection_activity.rs
+++ b/crates/sidecar/src/connection_activity.rs
@@ -48,6 +48,10 @@
     next_request_at_ms: AtomicU64,
     /// Whether bytes of an answer wait in this process because the send buffer is full.
     write_blocked: AtomicBool,
+    /// Whether the rest of a request is left in the kernel for lack of memory.
+    reading_paused: AtomicBool,
+    /// Whether the body of the open request is streamed, with its own memory.
+    has_long_body: AtomicBool,
     /// The client of the connection.
     client: OnceLock<ClientConnection>,
     /// Task to wake when the next request is answered.
@@ -78,6 +82,8 @@
             reset_on_close: AtomicBool::new(false),
             next_request_at_ms: AtomicU64::new(UNSET),
             write_blocked: AtomicBool::new(false),
+            reading_paused: AtomicBool::new(false),
+            has_long_body: AtomicBool::new(false),
             client: OnceLock::new(),
             answer_waker: Mutex::default(),
             eviction_pending: AtomicBool::new(false),
@@ -128,11 +134,22 @@
     pub fn request_answered(&self) {
         self.quiet_since_ms.store(self.now_ms(), Ordering::Relaxed);
         self.body_incomplete.store(false, Ordering::Relaxed);
+        self.has_long_body.store(false, Ordering::Relaxed);
         self.answered_requests.fetch_add(1, Ordering::Relaxed);
         let waker = self.answer_waker.lock().unwrap_or_else(PoisonError::into_inner).take();
         waker.into_iter().for_each(Waker::wake);
     }
 
+    /// Records that the body of the current request is streamed.
+    pub fn long_body_started(&self) {
+        self.has_long_body.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the body of the current request is streamed.
+    pub fn has_long_body(&self) -> bool {
+        self.has_long_body.load(Ordering::Relaxed)
+    }
+
     /// Number of requests that have been answered.
     pub fn answered_requests(&self) -> u64 {
         self.answered_requests.load(Ordering::Relaxed)
@@ -182,6 +199,17 @@
         }
     }
 
+    /// Records that the rest of the current request is left in the kernel, until the returned value is dropped.
+    /// All of the request may have been received, so that it counts as open.
+    pub fn pause_reading(&self) -> ReadingPause<'_> {
+        self.reading_paused.store(true, Ordering::Relaxed);
+        ReadingPause(self)
+    }
+
+    fn is_reading_paused(&self) -> bool {
+        self.reading_paused.load(Ordering::Relaxed)
+    }
+
     /// Whether bytes of an answer wait because the send buffer is full.
     fn is_write_blocked(&self) -> bool {
         self.write_blocked.load(Ordering::Relaxed)
@@ -247,7 +275,7 @@
     /// Which part of a request the connection holds.
     pub fn contents(&self) -> ConnectionContents {
         match (
-            self.is_busy() || self.is_write_blocked(),
+            self.is_busy() || self.is_write_blocked() || self.is_reading_paused(),
             self.body_incomplete.load(Ordering::Relaxed),
             self.head_since(),
         ) {
@@ -263,11 +291,12 @@
         self.ambiguous_request.load(Ordering::Relaxed) == number
     }
 
-    /// Since when the connection has been quiet; `None` while a request is open or its answer is not written
-    /// completely.
+    /// Since when the connection has been quiet; `None` while a request is open, left in the kernel, or its
+    /// answer is not written completely.
     pub fn quiet_since(&self) -> Option<Instant> {
         let ms = self.quiet_since_ms.load(Ordering::Relaxed);
-        (ms != REQUEST_OPEN && !self.is_write_blocked()).then(|| self.instant_at(ms))
+        (ms != REQUEST_OPEN && !self.is_write_blocked() && !self.is_reading_paused())
+            .then(|| self.instant_at(ms))
     }
 
     /// When the incomplete head began, if there is one.
@@ -276,3 +305,16 @@
         (ms != UNSET).then(|| self.instant_at(ms))
     }
 }
+
+/// A pause in the reading of a request; it ends when this is dropped.
+pub struct ReadingPause<'a>(&'a ConnectionActivity);
+
+impl Drop for ReadingPause<'_> {
+    fn drop(&mut self) {
+        let activity = self.0;
+        activity.reading_paused.store(false, Ordering::Relaxed);
+        if !activity.is_busy() {
+            activity.quiet_since_ms.store(activity.now_ms(), Ordering::Relaxed);
+        }
+    }
+}
--- a/crates/sidecar/src/console.rs
+++ b/crates/sidecar/src/console.rs
@@ -24,6 +24,7 @@
 use tokio::task::{Id, JoinSet};
 use tokio::time::sleep;
 
+use crate::budget::BufferBudget;
 use crate::client::Client;
 use crate::connection_activity::ConnectionActivity;
 use crate::instance::Control;
@@ -136,6 +137,8 @@
         let response = handle_call(&request, &control);
         std::future::ready(Ok::<_, Infallible>(response))
     });
+    // A caller sends one request, so that nothing is read ahead.
+    let client = Client::new(stream, activity, BufferBudget::new(0));
     // Errors are disconnects and malformed requests; hyper has answered those where possible.
     let _ = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -143,7 +146,7 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .keep_alive(false)
         .half_close(true)
-        .serve_connection(TokioIo::new(Client::new(stream, activity)), service)
+        .serve_connection(TokioIo::new(client), service)
         .await;
 }
 
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -298,7 +298,7 @@
             metrics: metrics.clone(),
             stall_timeout: Arc::default(),
             answer_lengths: Arc::default(),
-            transfers: budgets.transfers.clone(),
+            buffers: budgets.buffers.clone(),
         };
         let driver = Driver {
             subscribed,
@@ -1113,7 +1113,15 @@
             request.headers_mut().insert(header::HOST, host);
         }
         let (probe_by, events) = (now + self.probe_timeout, self.upstream_events.clone());
-        tokio::spawn(run_probe(connection, request, upstream, incarnation, probe_by, events));
+        tokio::spawn(run_probe(
+            connection,
+            request,
+            upstream,
+            incarnation,
+            probe_by,
+            self.resource_budgets.buffers.clone(),
+            events,
+        ));
     }
 
     /// Sends [`InstanceEvent::Ready`] when the instance has become ready, and only once.
--- a/crates/sidecar/src/driver/tests.rs
+++ b/crates/sidecar/src/driver/tests.rs
@@ -55,6 +55,7 @@
             headers: HeaderMap::new(),
             body: RequestBody::Buffered(bytes::Bytes::new()),
             client: None,
+            head_memory: None,
         },
         reply,
     });
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -14,6 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -26,7 +27,7 @@
 use tokio::task::{Id, JoinSet};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-use crate::budget::{Quota, TransferLimit};
+use crate::budget::{BufferBudget, BufferPermit, Quota};
 use crate::client::Client;
 use crate::connection_activity::ConnectionActivity;
 use crate::connection_close::{self, CloseAction, CloseReason, ConnectionContents};
@@ -35,7 +36,7 @@
 use crate::log::Log;
 use crate::messages::{ClientEvent, EventSink, FinalAnswer, ForwardedRequest, RequestArrival};
 use crate::metrics::Metrics;
-use crate::request_bound::{RequestState, bound};
+use crate::request_bound::{Deadline, RequestState, bound};
 use crate::transfer::answer::AnswerBody;
 use crate::transfer::body_buffer::BodyBuffer;
 use crate::transfer::limits::{HEAD_TIMEOUT, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
@@ -46,6 +47,8 @@
 const LISTEN_BACKLOG: u32 = 4096;
 /// hyper's read buffer for one connection: a request head must fit into it, and bodies are read through it.
 const READ_BUFFER_BYTES: usize = 32 << 10;
+/// A head of up to this size needs no memory of the budget: every connection has as much.
+const UNCHARGED_HEAD_BYTES: usize = 8 << 10;
 /// A connection without traffic is closed after this time, since clients keep theirs open indefinitely. It
 /// must be closed within 3 s if it has never carried a request, and may be closed after 2 s otherwise.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_200);
@@ -62,14 +65,14 @@
 /// it.
 const MIN_QUIET_BEFORE_TRIM: Duration = Duration::from_millis(50);
 /// New connections that may be accepted above the limit while evicted ones are still closing.
-const MAX_CONNECTIONS_ABOVE_LIMIT: usize = 8;
+pub const MAX_CONNECTIONS_ABOVE_LIMIT: usize = 8;
 /// Longest accepted `X-Request-ID`. The ids of open requests are kept in memory.
 const MAX_REQUEST_ID_BYTES: usize = 256;
 /// Wait after a failed accept, and before another eviction while no connection can be accepted. If the
 /// process is out of descriptors, a busy loop would starve the tasks that could free some.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// `Retry-After` of a request refused for the limit of concurrent transfers: transfers take seconds.
-const TRANSFER_LIMIT_RETRY_AFTER_MS: Millis = 500.0;
+/// `Retry-After` of a request refused for lack of memory: transfers take seconds.
+const MEMORY_RETRY_AFTER_MS: Millis = 500.0;
 /// Longest accepted `X-Timeout-Ms`.
 const MAX_REQUEST_TIMEOUT_MS: u64 = 600_000;
 
@@ -91,8 +94,8 @@
     pub events: EventSink<ClientEvent>,
     /// Limit of client connections.
     pub connections: Quota,
-    /// Limit of bodies that are streamed instead of buffered.
-    pub transfers: TransferLimit,
+    /// Memory of bodies and of requests that are read ahead.
+    pub buffers: BufferBudget,
     /// Readiness and counters.
     pub metrics: Arc<Metrics>,
     /// Receives errors of the listener.
@@ -109,13 +112,13 @@
         lifecycle: watch::Receiver<Lifecycle>,
         events: EventSink<ClientEvent>,
         connections: Quota,
-        transfers: TransferLimit,
+        buffers: BufferBudget,
         metrics: Arc<Metrics>,
         log: Log,
     ) -> Front {
         // The decision module reserves timer 0 and derives timer ids by halving request ids.
         let next_request_id = AtomicU64::new(2);
-        Front { names, lifecycle, events, connections, transfers, metrics, log, next_request_id }
+        Front { names, lifecycle, events, connections, buffers, metrics, log, next_request_id }
     }
 }
 
@@ -317,9 +320,10 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let connection = http1::Builder::new()
-        .max_buf_size(READ_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(Client::new(stream, activity.clone())), service);
+    let connection = http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).serve_connection(
+        TokioIo::new(Client::new(stream, activity.clone(), front.buffers.clone())),
+        service,
+    );
     let mut connection = std::pin::pin!(connection);
     let mut drain_close_at = initial.idle_close_at(accepted_at, false);
     let (mut shutting_down, mut imminent_end_handled) = (false, false);
@@ -467,18 +471,29 @@
     };
     let (head, body) = request.into_parts();
     let (head_at, stated_length) = (Instant::now(), body.size_hint().exact());
-    let body = match buffer_body(body, head_at, stated_length).await {
-        Ok((buffered, None)) => RequestBody::Buffered(buffered),
-        Ok((buffered, Some(rest))) => match front.transfers.try_acquire() {
+    // The request may have been received completely with its head, so that its time may run from then.
+    let deadline = Deadline::new(head_at, time_left, None);
+    let head_memory = match memory_of_head(&head) {
+        0 => None,
+        bytes => match wait_for_memory(bytes, deadline, front, activity).await {
+            Ok(permit) => Some(permit),
+            Err(_) => return refused_response(MEMORY_RETRY_AFTER_MS),
+        },
+    };
+    let body = match buffer_body(body, deadline, stated_length, front, activity).await {
+        Ok((mut buffer, None)) => RequestBody::Buffered(buffer.take()),
+        Ok((mut buffer, Some(rest))) => match front.buffers.try_extend_to_transfer(buffer.take_permit()) {
             Some(permit) => {
-                let activity = activity.clone();
-                let upload = Upload::new(buffered, rest, stated_length, head_at, activity, permit);
+                activity.long_body_started();
+                let (first_bytes, activity) = (buffer.take_bytes(), activity.clone());
+                let upload = Upload::new(first_bytes, rest, stated_length, head_at, activity, permit);
                 RequestBody::Upload(Arc::new(upload))
             }
             // Nothing has been executed, and there is no queue for uploads.
-            None => return refused_response(TRANSFER_LIMIT_RETRY_AFTER_MS),
+            None => return refused_response(MEMORY_RETRY_AFTER_MS),
         },
-        Err((status, reason)) => return text_response(status, reason),
+        Err(BodyError::Rejected(status, reason)) => return text_response(status, reason),
+        Err(BodyError::NoMemory) => return refused_response(MEMORY_RETRY_AFTER_MS),
     };
     let received_at = Instant::now();
     activity.request_opened();
@@ -487,7 +502,7 @@
     let request = RequestId(front.next_request_id.fetch_add(1, Ordering::Relaxed));
     let (reply, answer) = oneshot::channel();
     let (headers, client) = (end_to_end_headers(&head.headers), activity.client());
-    let forward = ForwardedRequest { method: head.method, target, headers, body, client };
+    let forward = ForwardedRequest { method: head.method, target, headers, body, client, head_memory };
     let arrival = RequestArrival { request, class, tenant, id, received_at, time_left, forward, reply };
     let mut guard = DisconnectGuard { request, front, answered: false };
     front.events.send(ClientEvent::Arrived(Box::new(arrival)));
@@ -505,32 +520,74 @@
     }
 }
 
+/// The memory in bytes that a request needs for its head beyond what every connection has. A head is kept in the
+/// read buffer of its connection, so that the body needs another one, and is written in one piece.
+fn memory_of_head(head: &Parts) -> usize {
+    let headers = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    let bytes = headers.sum::<usize>() + head.uri.path().len() + head.uri.query().map_or(0, str::len);
+    if bytes > UNCHARGED_HEAD_BYTES { 2 * READ_BUFFER_BYTES } else { 0 }
+}
+
+/// Why a body was not read.
+enum BodyError {
+    /// The request is answered with this status and reason.
+    Rejected(StatusCode, &'static str),
+    /// The request's time has passed without memory for its body. It was not executed.
+    NoMemory,
+}
+
 /// Reads a body until it is complete or exceeds the buffer limit, as long as it keeps the minimum rate.
-/// Returns the bytes read and, if the body is longer, the stream of its rest.
+/// Returns the bytes read and, if the body is longer, the stream of its rest. While there is no memory for the
+/// body, its rest stays in the kernel.
 async fn buffer_body(
     mut body: Incoming,
-    head_at: Instant,
+    deadline: Deadline,
     stated_length: Option<u64>,
-) -> Result<(Bytes, Option<Incoming>), Rejection> {
+    front: &Front,
+    activity: &ConnectionActivity,
+) -> Result<(BodyBuffer, Option<Incoming>), BodyError> {
+    let mut head_at = deadline.received_at();
     let mut buffer = BodyBuffer::default();
     while !body.is_end_stream() {
         let state = RequestState::Reading { head_at, bytes: buffer.length() as u64 };
-        match timeout_at(bound(state).at, body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                // Trailers are not forwarded: they belong to the client's connection.
-                if let Ok(data) = frame.into_data() {
-                    buffer.push(data, stated_length);
-                }
+        let frame = match timeout_at(bound(state).at, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(_))) => {
+                return Err(BodyError::Rejected(StatusCode::BAD_REQUEST, "the body is broken"));
             }
-            Ok(Some(Err(_))) => return Err((StatusCode::BAD_REQUEST, "the body is broken")),
             Ok(None) => break,
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come")),
+            Err(_) => {
+                return Err(BodyError::Rejected(StatusCode::REQUEST_TIMEOUT, "the body did not come"));
+            }
+        };
+        // Trailers are not forwarded: they belong to the client's connection.
+        let Ok(data) = frame.into_data() else { continue };
+        if let Some(bytes) = buffer.missing_memory(data.len(), stated_length) {
+            let waiting_since = Instant::now();
+            buffer.add_memory(wait_for_memory(bytes, deadline, front, activity).await?);
+            // The wait is not the client's fault.
+            head_at += waiting_since.elapsed();
         }
+        buffer.push(data, stated_length);
         if buffer.length() > MAX_BUFFERED_BODY_BYTES {
-            return Ok((buffer.take(), Some(body)));
+            return Ok((buffer, Some(body)));
         }
     }
-    Ok((buffer.take(), None))
+    Ok((buffer, None))
+}
+
+/// Waits for memory for the body of a request, at most until the request's answer is due.
+async fn wait_for_memory(
+    bytes: usize,
+    deadline: Deadline,
+    front: &Front,
+    activity: &ConnectionActivity,
+) -> Result<BufferPermit, BodyError> {
+    let wait_until = bound(RequestState::Queued(deadline)).at;
+    // The end of the request may wait in the kernel, so that its connection must not be closed meanwhile.
+    let _paused = activity.pause_reading();
+    let permit = timeout_at(wait_until, front.buffers.acquire_bytes(bytes)).await;
+    permit.ok().flatten().ok_or(BodyError::NoMemory)
 }
 
 /// The fields of a valid request head.
--- a/crates/sidecar/src/front/tests.rs
+++ b/crates/sidecar/src/front/tests.rs
@@ -21,7 +21,7 @@
 /// A front that refuses every request, and its lifecycle.
 fn refusing_front() -> (Arc<Front>, watch::Sender<Lifecycle>) {
     let (lifecycle, lifecycle_receiver) = watch::channel(Lifecycle::new(false, Instant::now()));
-    let form = ClassForm { name: "a".to_owned(), effect: Effect::Idempotent, put: false };
+    let form = ClassForm { name: "a".to_owned(), effect: Effect::Idempotent, put: true };
     let events = EventSink::from_fn(|event| {
         if let ClientEvent::Arrived(arrival) = event {
             let _ = arrival.reply.send(FinalAnswer::Refused(0.0));
@@ -34,7 +34,7 @@
         lifecycle_receiver,
         events,
         budgets.clients.clone(),
-        budgets.transfers.clone(),
+        budgets.buffers.clone(),
         Arc::new(Metrics::new(std::iter::once("a"))),
         Log::process(),
     );
@@ -51,6 +51,11 @@
 /// Serves one connection to a front that refuses every request.
 async fn serve_one() -> ServedConnection {
     let (front, lifecycle) = refusing_front();
+    serve_one_to(front, lifecycle).await
+}
+
+/// Serves one connection to this front.
+async fn serve_one_to(front: Arc<Front>, lifecycle: watch::Sender<Lifecycle>) -> ServedConnection {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("cannot bind");
     let client = connect(&listener);
     let (stream, _) = listener.accept().await.expect("cannot accept");
@@ -158,3 +163,47 @@
     }
     assert!(released.load(Ordering::Relaxed));
 }
+
+/// Guards the memory limit, and a request that waits for memory: it is refused in its time if there is none, its
+/// connection is not evicted meanwhile, and a body that needs no memory of the budget does not wait.
+#[tokio::test]
+async fn request_whose_body_finds_no_memory_waits_and_is_refused_in_its_time() {
+    let (front, lifecycle) = refusing_front();
+    let arrived = Arc::new(AtomicU64::new(0));
+    let arrivals = arrived.clone();
+    let events = EventSink::from_fn(move |event| {
+        if let ClientEvent::Arrived(arrival) = event {
+            arrivals.fetch_add(1, Ordering::Relaxed);
+            let _ = arrival.reply.send(FinalAnswer::Refused(0.0));
+        }
+        true
+    });
+    let front = Arc::new(Front { events, ..Arc::into_inner(front).expect("another reference") });
+    let taken: Vec<_> = std::iter::from_fn(|| front.buffers.try_acquire_transfer()).collect();
+    let request = |body_bytes: usize| {
+        let head =
+            "PUT /a HTTP/1.1\r\nHost: x\r\nX-Request-ID: 1\r\nX-Priority-Class: a\r\nX-Timeout-Ms: 600\r\n";
+        let framing = format!("Content-Length: {body_bytes}\r\n\r\n");
+        [head.as_bytes(), framing.as_bytes(), &vec![b'x'; body_bytes]].concat()
+    };
+    let mut served = serve_one_to(front.clone(), lifecycle).await;
+    served.client.write_all(&request(10_000)).expect("cannot write the request");
+    assert!(read_answer(&mut served.client).await.starts_with("HTTP/1.1 503"));
+    assert_eq!(arrived.load(Ordering::Relaxed), 1, "a short body does not wait");
+    let written_at = Instant::now();
+    served.client.write_all(&request(60_000)).expect("cannot write the request");
+    sleep(Duration::from_millis(300)).await;
+    served.activity.eviction_requested.notify_one();
+    assert!(read_answer(&mut served.client).await.starts_with("HTTP/1.1 503"));
+    let waited = written_at.elapsed();
+    assert!((Duration::from_millis(550)..Duration::from_millis(1_100)).contains(&waited), "{waited:?}");
+    assert_eq!(arrived.load(Ordering::Relaxed), 1, "a request without memory is not passed on");
+    // With memory, the same request is passed on.
+    let (_, lifecycle) = refusing_front();
+    let mut served = serve_one_to(front, lifecycle).await;
+    served.client.write_all(&request(60_000)).expect("cannot write the request");
+    sleep(Duration::from_millis(100)).await;
+    drop(taken);
+    assert!(read_answer(&mut served.client).await.starts_with("HTTP/1.1 503"));
+    assert_eq!(arrived.load(Ordering::Relaxed), 2);
+}
--- a/crates/sidecar/src/instance.rs
+++ b/crates/sidecar/src/instance.rs
@@ -111,7 +111,7 @@
         let metrics = Arc::new(Metrics::new(names.classes.iter().map(|form| form.name.as_str())));
         let longest_deadline =
             Duration::try_from_secs_f64(settings.longest_deadline_ms() / 1e3).unwrap_or_default();
-        let (clients, transfers) = (budgets.clients.clone(), budgets.transfers.clone());
+        let (clients, buffers) = (budgets.clients.clone(), budgets.buffers.clone());
         let (lifecycle, lifecycle_receiver) = watch::channel(Lifecycle::new(standby, Instant::now()));
         let lifecycle = Arc::new(lifecycle);
         let (driver, driver_events) = Driver::new(driver::DriverConfig {
@@ -132,7 +132,7 @@
             lifecycle_receiver,
             client_events,
             clients,
-            transfers,
+            buffers,
             metrics.clone(),
             log,
         ));
@@ -350,7 +350,7 @@
             lifecycle_receiver,
             refuse_all,
             budgets.clients.clone(),
-            budgets.transfers.clone(),
+            budgets.buffers.clone(),
             metrics,
             log,
         );
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use crate::budget::BufferPermit;
 use crate::client_disconnect::ClientConnection;
 use crate::request_bound::AttemptTimes;
 use crate::transfer::answer::AnswerBody;
@@ -60,6 +61,8 @@
     pub body: RequestBody,
     /// The client's connection, if its disconnect can be detected.
     pub client: Option<ClientConnection>,
+    /// Memory of a long head, held until the request has ended.
+    pub head_memory: Option<BufferPermit>,
 }
 
 /// A new request for the driver.
--- a/crates/sidecar/src/metered_stream.rs
+++ b/crates/sidecar/src/metered_stream.rs
@@ -180,6 +180,12 @@
         }
     }
 
+    /// Records that reading goes on after a pause of this side, which does not count as a gap of the answer.
+    pub fn mark_reading_resumed(&self) {
+        let now = u64::try_from(self.opened_at.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.last_read_micros.store(now, Ordering::Relaxed);
+    }
+
     /// Records bytes read; an error if no request is open.
     fn count_read(&self, bytes: usize) -> io::Result<()> {
         if bytes == 0 {
--- a/crates/sidecar/src/request_bound.rs
+++ b/crates/sidecar/src/request_bound.rs
@@ -57,6 +57,11 @@
         Deadline { at: self.at.min(process_ends).max(self.received_at), ..*self }
     }
 
+    /// When the last byte of the request was received.
+    pub fn received_at(&self) -> Instant {
+        self.received_at
+    }
+
     /// The time of the deadline.
     pub fn at(&self) -> Instant {
         self.at
--- a/crates/sidecar/src/transfer/answer.rs
+++ b/crates/sidecar/src/transfer/answer.rs
@@ -14,7 +14,7 @@
 use super::answer_hold::AnswerLengths;
 use super::limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use super::stall_timeout::StallTimeout;
-use crate::budget::TransferPermit;
+use crate::budget::BufferPermit;
 use crate::connection::Connection;
 use crate::connection_activity::ConnectionActivity;
 use crate::metrics::RequestOutcome;
@@ -100,7 +100,7 @@
     pending_error: Option<StreamError>,
     client_connection: Option<Arc<ConnectionActivity>>,
     delimited_by_close: bool,
-    _permit: TransferPermit,
+    _permit: BufferPermit,
 }
 
 /// Estimates from the answers of an instance, which this answer updates.
@@ -125,7 +125,7 @@
     /// Called at the end of the stream.
     pub on_end: EndCallback,
     /// Held until the end of the stream.
-    pub permit: TransferPermit,
+    pub permit: BufferPermit,
     /// When the client stops waiting if the answer is short.
     pub deadline: Instant,
     /// Estimates from earlier answers.
--- a/crates/sidecar/src/transfer/upload.rs
+++ b/crates/sidecar/src/transfer/upload.rs
@@ -17,7 +17,7 @@
 
 use super::client_progress::LastIncomplete;
 use super::limits::{MAX_BODY_BYTES, body_due_by};
-use crate::budget::TransferPermit;
+use crate::budget::BufferPermit;
 use crate::connection_activity::ConnectionActivity;
 
 /// The state of a streamed request body.
@@ -59,7 +59,7 @@
     activity: Arc<ConnectionActivity>,
     /// When the client is known not to have written all of the body.
     last_incomplete: Mutex<LastIncomplete>,
-    _permit: TransferPermit,
+    _permit: BufferPermit,
 }
 
 /// Locks a mutex. No code that holds the lock can panic.
@@ -76,7 +76,7 @@
         length: Option<u64>,
         head_at: Instant,
         activity: Arc<ConnectionActivity>,
-        permit: TransferPermit,
+        permit: BufferPermit,
     ) -> Upload {
         let source = Mutex::new(Source::Unread(Box::new(rest)));
         let first_bytes_at = Instant::now();
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -16,7 +16,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::budget::{TransferLimit, TransferPermit, UpstreamPermit};
+use crate::budget::{BufferBudget, BufferPermit, UpstreamPermit};
 use crate::client_disconnect::WriteConditions;
 use crate::connection::Connection;
 use crate::execution::{self, Termination, Written};
@@ -62,13 +62,7 @@
     Complete(Answer),
     /// The head and the first bytes of an answer that is to be streamed. Has a permit if the answer was held
     /// for longer than [`MIN_HOLD`].
-    Streaming {
-        head: Parts,
-        first: Bytes,
-        rest: Incoming,
-        length: Option<u64>,
-        permit: Option<TransferPermit>,
-    },
+    Streaming { head: Parts, first: Bytes, rest: Incoming, length: Option<u64>, permit: Option<BufferPermit> },
     /// The head. The body is not needed.
     HeadOnly(Answer),
 }
@@ -87,7 +81,7 @@
     pace: Pace,
     /// Taken when the hold lasts for longer than [`MIN_HOLD`]. A streamed answer keeps the permit of its
     /// hold.
-    permit: Option<TransferPermit>,
+    permit: Option<BufferPermit>,
 }
 
 impl<'a> AnswerHold<'a> {
@@ -119,7 +113,7 @@
             return false;
         }
         let HoldContext { attempt, shared } = self.context;
-        self.permit = shared.transfers.try_acquire();
+        self.permit = shared.buffers.try_acquire_transfer();
         if self.permit.is_none() {
             shared.metrics.unheld_answers.fetch_add(1, Ordering::Relaxed);
             return false;
@@ -131,6 +125,28 @@
     }
 }
 
+/// The memory of an answer that is read.
+struct AnswerMemory<'a> {
+    buffers: &'a BufferBudget,
+    /// Whether the answer waits for memory, unread at its upstream.
+    waiting: &'a AtomicBool,
+}
+
+impl AnswerMemory<'_> {
+    /// Waits for a permit. The wait does not count as a pause of the upstream.
+    async fn wait_for(
+        &self,
+        permit: impl Future<Output = Option<BufferPermit>>,
+        meter: &Meter,
+    ) -> Option<BufferPermit> {
+        self.waiting.store(true, Ordering::Relaxed);
+        let permit = permit.await;
+        meter.mark_reading_resumed();
+        self.waiting.store(false, Ordering::Relaxed);
+        permit
+    }
+}
+
 /// Sends a request once and reads its answer until the answer is complete or may be streamed. An answer is
 /// held only with a `hold_context`, and only if it has served the request.
 async fn exchange(
@@ -138,6 +154,7 @@
     mut request: Request<AttemptBody>,
     meter: &Arc<Meter>,
     hold_context: Option<&HoldContext<'_>>,
+    memory: &AnswerMemory<'_>,
 ) -> Result<Received, ExchangeError> {
     let interim_meter = meter.clone();
     hyper::ext::on_informational(&mut request, move |_| interim_meter.mark_interim_answer());
@@ -183,6 +200,13 @@
                     if let Some(hold) = &mut hold {
                         hold.pace.record_piece(Instant::now(), data.len());
                     }
+                    // A hold of some length has the memory already.
+                    let has_memory = hold.as_ref().is_some_and(|hold| hold.permit.is_some());
+                    let missing = buffer.missing_memory(data.len(), length).filter(|_| !has_memory);
+                    if let Some(bytes) = missing {
+                        let permit = memory.wait_for(memory.buffers.acquire_bytes(bytes), meter).await;
+                        permit.into_iter().for_each(|permit| buffer.add_memory(permit));
+                    }
                     buffer.push(data, length);
                 }
             }
@@ -217,20 +241,19 @@
 }
 
 /// Returns when an answer that has begun brings no bytes for longer than the stall timeout. While
-/// `waiting_for_permit` is set, nothing is read from the upstream, so the pause does not count as a stall.
+/// `waiting_for_memory` is set, nothing is read from the upstream, so the pause does not count as a stall.
 async fn wait_until_answer_stalls(
     meter: &Meter,
     stall_timeout: &StallTimeout,
-    waiting_for_permit: &AtomicBool,
+    waiting_for_memory: &AtomicBool,
 ) {
     loop {
         meter.wait_for_answer_start().await;
         let limit = stall_timeout.next_timeout();
         while meter.is_answer_started() {
-            let until = meter.last_read_at() + limit;
-            if waiting_for_permit.load(Ordering::Relaxed) {
-                return std::future::pending().await;
-            }
+            let waiting = waiting_for_memory.load(Ordering::Relaxed);
+            let reading_since = if waiting { Instant::now() } else { meter.last_read_at() };
+            let until = reading_since + limit;
             if until <= Instant::now() {
                 return;
             }
@@ -322,7 +345,7 @@
     /// Estimate of whether answers of unknown length are long.
     pub answer_lengths: Arc<AnswerLengths>,
     /// Limit on streamed answers.
-    pub transfers: TransferLimit,
+    pub buffers: BufferBudget,
 }
 
 /// The request that an attempt writes.
@@ -373,14 +396,15 @@
         },
     };
     let (termination, answer) = {
-        let waiting_for_permit = AtomicBool::new(false);
+        let waiting_for_memory = AtomicBool::new(false);
+        let memory = AnswerMemory { buffers: &context.buffers, waiting: &waiting_for_memory };
         let hold_context = HoldContext { attempt: &attempt, shared: &context };
         let exchange = async {
-            let mut received = exchange(&mut connection.sender, request, &meter, Some(&hold_context)).await?;
+            let mut received =
+                exchange(&mut connection.sender, request, &meter, Some(&hold_context), &memory).await?;
             // Until a permit is available, an answer to be streamed waits unread at its upstream.
             if let Received::Streaming { permit: permit @ None, .. } = &mut received {
-                waiting_for_permit.store(true, Ordering::Relaxed);
-                *permit = context.transfers.acquire().await;
+                *permit = memory.wait_for(context.buffers.acquire_transfer(), &meter).await;
             }
             Ok(received)
         };
@@ -457,7 +481,7 @@
                     (Termination::Malformed, None)
                 }
             },
-            () = wait_until_answer_stalls(&meter, &context.stall_timeout, &waiting_for_permit) => {
+            () = wait_until_answer_stalls(&meter, &context.stall_timeout, &waiting_for_memory) => {
                 let upstream = attempt.upstream.0;
                 context.log.line(format!("upstream {upstream}: the answer stalled before its end"));
                 (Termination::Malformed, None)
@@ -555,6 +579,7 @@
     upstream: UpstreamId,
     incarnation: u64,
     probe_by: Instant,
+    buffers: BufferBudget,
     events: EventSink<UpstreamEvent>,
 ) {
     let opened = match connection {
@@ -567,7 +592,9 @@
     if let Ok(mut connection) = opened {
         let meter = connection.meter.clone();
         meter.begin_exchange(None, None);
-        let result = timeout_at(probe_by, exchange(&mut connection.sender, request, &meter, None)).await;
+        let memory = AnswerMemory { buffers: &buffers, waiting: &AtomicBool::new(false) };
+        let answered = exchange(&mut connection.sender, request, &meter, None, &memory);
+        let result = timeout_at(probe_by, answered).await;
         if let Ok(Ok(Received::Complete(received))) = result {
             answer = Some(received);
             events.send(UpstreamEvent::ProbeEnded { upstream, answer });
--- a/crates/sidecar/src/upstream/tests.rs
+++ b/crates/sidecar/src/upstream/tests.rs
@@ -47,7 +47,7 @@
         metrics: Arc::new(Metrics::new(std::iter::empty())),
         stall_timeout: Arc::default(),
         answer_lengths: Arc::default(),
-        transfers: TransferLimit::new(1),
+        buffers: BufferBudget::new(1),
     }
 }
 
@@ -297,7 +297,7 @@
             let _ = stream.shutdown(Shutdown::Both);
         });
         let context = attempt_context();
-        let taken_permit = is_full.then(|| context.transfers.try_acquire().expect("a free permit"));
+        let taken_permit = is_full.then(|| context.buffers.try_acquire_transfer().expect("a free permit"));
         let (received, sink) = collecting_sink();
         let (_cancel, cancelled) = oneshot::channel();
         let (head, body) = post(1);
@@ -320,3 +320,50 @@
         let _ = tokio::task::spawn_blocking(move || peer.join()).await.unwrap();
     }
 }
+
+/// Guards an answer that waits for memory: the wait is no stall of its upstream, and the answer is read once there is
+/// memory.
+#[tokio::test]
+async fn answer_that_waits_for_memory_is_read_later_and_not_taken_for_stalled() {
+    const ANSWER_BYTES: usize = 60_000;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let (connection, attempt) = open_connection(listener.local_addr().unwrap()).await;
+    let peer = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        // The request is read first, since an answer without a request would end the connection.
+        let mut arrived = Vec::new();
+        while !contains_complete_request(&arrived) {
+            let mut buffer = [0; 512];
+            let read = stream.read(&mut buffer).unwrap();
+            arrived.extend_from_slice(&buffer[..read]);
+        }
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n");
+        std::io::Write::write_all(&mut stream, head.as_bytes()).unwrap();
+        std::io::Write::write_all(&mut stream, &[b'a'; ANSWER_BYTES]).unwrap();
+        stream
+    });
+    let context = attempt_context();
+    let taken = context.buffers.try_acquire_transfer().expect("memory");
+    let (received, sink) = collecting_sink();
+    let (_cancel, cancelled) = oneshot::channel();
+    let (head, body) = post(1);
+    let request = AttemptRequest { head, body, write_conditions: None };
+    let task = tokio::spawn(run_attempt(connection, request, attempt, cancelled, context.clone(), sink));
+    // For longer than the stall timeout.
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert!(received.lock().unwrap().is_empty(), "the answer waits");
+    drop(taken);
+    task.await.unwrap();
+    let events = std::mem::take(&mut *received.lock().unwrap());
+    let answer_bytes = events.iter().find_map(|event| match event {
+        UpstreamEvent::Ended { end: AttemptEnd::Outcome(Outcome::Ok, Some(answer)), .. } => {
+            answer.body.length()
+        }
+        _ => None,
+    });
+    assert_eq!(answer_bytes, Some(ANSWER_BYTES as u64));
+    assert_eq!(context.buffers.in_use(), 1, "the answer holds its memory");
+    drop(events);
+    assert_eq!(context.buffers.in_use(), 0);
+    drop(tokio::task::spawn_blocking(move || peer.join()).await.unwrap());
+}
--- a/crates/sidecar/tests/client_disconnect.rs
+++ b/crates/sidecar/tests/client_disconnect.rs
@@ -145,6 +145,7 @@
             headers: HeaderMap::new(),
             body: RequestBody::Buffered(Default::default()),
             client,
+            head_memory: None,
         };
         let arrival = RequestArrival {
             request,
