Long heads of answers and the daemon's instances draw on the memory budget

An answer's head is now read beyond 8 KiB only once there are 64 KiB of the budget for it (`head_gate.rs`: the stream follows the head, its rest stays in the kernel), and a connection whose buffers have grown is not used again.

An instance of the daemon had a budget of 256 KiB for each connection, whatever its `memory_mb`, and a change did not reach it: now its memory less that of its connections (tests/grants.rs).

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -88,7 +88,16 @@
 impl InstanceSpec {
     /// How many connections it may hold on each side.
     pub fn connections(&self) -> usize {
-        Limits { memory_mb: self.memory_mb, sockets: self.sockets }.max_connections(OWN_DESCRIPTORS)
+        self.limits().max_connections(OWN_DESCRIPTORS)
+    }
+
+    /// For how many long bodies its memory suffices beside that of its connections.
+    pub fn transfers(&self) -> usize {
+        self.limits().max_transfers(OWN_DESCRIPTORS)
+    }
+
+    fn limits(&self) -> Limits {
+        Limits { memory_mb: self.memory_mb, sockets: self.sockets }
     }
 }
 
--- a/crates/daemon/src/grants.rs
+++ b/crates/daemon/src/grants.rs
@@ -29,8 +29,10 @@
     /// What an instance may hold, over all its generations.
     pub fn of(&mut self, name: &Name, spec: &InstanceSpec) -> Budgets {
         let shared = Holder { shares: self.shares.clone(), name: name.clone() };
-        let grant =
-            || Budgets { shared: Some(Arc::new(shared)), ..Budgets::with_connections(spec.connections()) };
+        let grant = || Budgets {
+            shared: Some(Arc::new(shared)),
+            ..Budgets::with_limits(spec.connections(), spec.transfers())
+        };
         let budgets = self.by_name.entry(name.clone()).or_insert_with(grant).clone();
         self.resize(name, spec);
         budgets
@@ -41,6 +43,7 @@
         if let Some(budgets) = self.by_name.get(name) {
             budgets.clients.set_limit(spec.connections());
             budgets.upstreams.set_limit(spec.connections());
+            budgets.buffers.set_limit(spec.transfers());
         }
     }
 
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 
 use crate::hosts::HostList;
-use crate::resource_limits::{ResourceLimits, divide};
+use crate::resource_limits::{ResourceLimits, TRANSFER_KIB, connections_kib, divide};
 
 /// The configuration file.
 #[derive(Deserialize)]
@@ -70,6 +70,12 @@
         let max_by_memory = self.memory_mb.saturating_mul(1024) / DAEMON_CONNECTION_KIB;
         (self.sockets.saturating_sub(reserved_descriptors) / 2).min(max_by_memory).max(1)
     }
+
+    /// For how many long bodies the memory of a daemon's instance suffices beside that of its connections.
+    pub fn max_transfers(&self, reserved_descriptors: usize) -> usize {
+        let connections_kib = connections_kib(self.max_connections(reserved_descriptors));
+        (self.memory_mb.saturating_mul(1024).saturating_sub(connections_kib) / TRANSFER_KIB).max(1)
+    }
 }
 
 /// Memory limit of the smallest deployments, in MiB.
--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -77,8 +77,12 @@
     }
 
     /// Waits until the next request can be sent, and marks the connection as used and idle. `None` if it does
-    /// not become ready in time or the upstream closes it.
+    /// not become ready in time, the upstream closes it, or its buffers have grown for a long head: they keep
+    /// their size, and no idle connection has the memory for that.
     pub async fn into_idle(mut self) -> Option<Connection> {
+        if self.meter.has_grown_buffers() {
+            return None;
+        }
         timeout(READY_TIMEOUT, self.sender.ready()).await.ok()?.ok()?;
         self.was_used = true;
         self.idle_since = Instant::now();
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -14,7 +14,6 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
-use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -31,7 +30,7 @@
 use crate::client::Client;
 use crate::connection_activity::ConnectionActivity;
 use crate::connection_close::{self, CloseAction, CloseReason, ConnectionContents};
-use crate::headers::end_to_end_headers;
+use crate::headers::{self, LONG_HEAD_BYTES, end_to_end_headers};
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::log::Log;
 use crate::messages::{ClientEvent, EventSink, FinalAnswer, ForwardedRequest, RequestArrival};
@@ -47,8 +46,6 @@
 const LISTEN_BACKLOG: u32 = 4096;
 /// hyper's read buffer for one connection: a request head must fit into it, and bodies are read through it.
 const READ_BUFFER_BYTES: usize = 32 << 10;
-/// A head of up to this size needs no memory of the budget: every connection has as much.
-const UNCHARGED_HEAD_BYTES: usize = 8 << 10;
 /// A connection without traffic is closed after this time, since clients keep theirs open indefinitely. It
 /// must be closed within 3 s if it has never carried a request, and may be closed after 2 s otherwise.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_200);
@@ -473,9 +470,10 @@
     let (head_at, stated_length) = (Instant::now(), body.size_hint().exact());
     // The request may have been received completely with its head, so that its time may run from then.
     let deadline = Deadline::new(head_at, time_left, None);
-    let head_memory = match memory_of_head(&head) {
-        0 => None,
-        bytes => match wait_for_memory(bytes, deadline, front, activity).await {
+    let target_bytes = head.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    let head_memory = match headers::is_long(&head.headers, target_bytes) {
+        false => None,
+        true => match wait_for_memory(LONG_HEAD_BYTES, deadline, front, activity).await {
             Ok(permit) => Some(permit),
             Err(_) => return refused_response(MEMORY_RETRY_AFTER_MS),
         },
@@ -520,14 +518,6 @@
     }
 }
 
-/// The memory in bytes that a request needs for its head beyond what every connection has. A head is kept in the
-/// read buffer of its connection, so that the body needs another one, and is written in one piece.
-fn memory_of_head(head: &Parts) -> usize {
-    let headers = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
-    let bytes = headers.sum::<usize>() + head.uri.path().len() + head.uri.query().map_or(0, str::len);
-    if bytes > UNCHARGED_HEAD_BYTES { 2 * READ_BUFFER_BYTES } else { 0 }
-}
-
 /// Why a body was not read.
 enum BodyError {
     /// The request is answered with this status and reason.
--- a/crates/sidecar/src/headers.rs
+++ b/crates/sidecar/src/headers.rs
@@ -1,7 +1,19 @@
-//! Separates end-to-end headers from those of one connection (RFC 9110, 7.6.1).
+//! Separates end-to-end headers from those of one connection (RFC 9110, 7.6.1), and tells the memory of a head.
 
 use hyper::header::{self, HeaderMap, HeaderName};
 
+/// A head of up to this size needs no memory of the budget: every connection has as much.
+pub const UNCHARGED_HEAD_BYTES: usize = 8 << 10;
+/// Memory in bytes of a longer head: it is kept in the read buffer of its connection, so that the body needs another one, and is
+/// written in one piece.
+pub const LONG_HEAD_BYTES: usize = 64 << 10;
+
+/// Whether a head with these headers, and a target of `target_bytes`, needs [`LONG_HEAD_BYTES`] of memory.
+pub fn is_long(headers: &HeaderMap, target_bytes: usize) -> bool {
+    let fields = headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    fields.sum::<usize>() + target_bytes > UNCHARGED_HEAD_BYTES
+}
+
 /// The headers that are forwarded: those that don't concern one connection or its framing.
 pub fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
     const HOP_BY_HOP: [HeaderName; 9] = [
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod execution;
 pub mod front;
 pub mod handover;
+pub mod head_gate;
 pub mod headers;
 pub mod hosts;
 pub mod inherited_listener;
--- a/crates/sidecar/src/metered_stream.rs
+++ b/crates/sidecar/src/metered_stream.rs
@@ -17,6 +17,7 @@
 
 use crate::client_disconnect::{self, ConnectionCheck, WriteConditions};
 use crate::execution::Written;
+use crate::head_gate::{HeadGate, HeadScanner};
 use crate::io_counts;
 use crate::metrics::Metrics;
 use crate::transfer::framing::Framing;
@@ -39,6 +40,10 @@
     last_read_micros: AtomicU64,
     /// Whether the socket is to be reset when it is closed.
     reset_on_close: AtomicBool,
+    /// Whether the connection's buffers have grown for a long head.
+    has_grown_buffers: AtomicBool,
+    /// Whether the head of the current answer may be long.
+    head_gate: HeadGate,
     /// The current exchange.
     exchange: Mutex<Exchange>,
 }
@@ -69,6 +74,8 @@
             answer_start: Notify::new(),
             last_read_micros: AtomicU64::new(0),
             reset_on_close: AtomicBool::new(false),
+            has_grown_buffers: AtomicBool::new(false),
+            head_gate: HeadGate::default(),
             exchange: Mutex::default(),
         }
     }
@@ -107,6 +114,7 @@
     /// Records that the bytes received were an interim (1xx) answer: the final answer has not begun.
     pub fn mark_interim_answer(&self) {
         self.answer_started.store(false, Ordering::Relaxed);
+        self.head_gate.restart();
     }
 
     /// Records that the answer is complete: bytes that arrive before the next request is written belong to no
@@ -153,6 +161,21 @@
         self.reset_on_close.store(true, Ordering::Relaxed);
     }
 
+    /// Whether the head of the current answer may be long.
+    pub fn head_gate(&self) -> &HeadGate {
+        &self.head_gate
+    }
+
+    /// Records that the connection's buffers have grown for a long head.
+    pub fn mark_grown_buffers(&self) {
+        self.has_grown_buffers.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the connection's buffers have grown for a long head.
+    pub fn has_grown_buffers(&self) -> bool {
+        self.has_grown_buffers.load(Ordering::Relaxed)
+    }
+
     /// When bytes were last read.
     pub fn last_read_at(&self) -> Instant {
         self.opened_at + Duration::from_micros(self.last_read_micros.load(Ordering::Relaxed))
@@ -219,6 +242,8 @@
 pub struct MeteredStream {
     stream: TcpStream,
     meter: Arc<Meter>,
+    /// Follows the head of the current answer.
+    head_scanner: HeadScanner,
     /// Runs while a write is blocked because the upstream takes no bytes.
     write_timeout: Option<Pin<Box<Sleep>>>,
 }
@@ -227,14 +252,22 @@
     /// Wraps a stream; its counts start at 0.
     pub fn new(stream: TcpStream) -> (MeteredStream, Arc<Meter>) {
         let meter = Arc::new(Meter::default());
-        (MeteredStream { stream, meter: meter.clone(), write_timeout: None }, meter)
+        (
+            MeteredStream {
+                stream,
+                meter: meter.clone(),
+                head_scanner: HeadScanner::default(),
+                write_timeout: None,
+            },
+            meter,
+        )
     }
 
     /// Checks the connection before the first byte of a request is written. Bytes that wait in the socket
     /// would be read as the answer, a request on a connection closed by the upstream would be lost, and the
     /// client may have disconnected. The check polls the sockets themselves, since the runtime detects new
     /// events only when it next polls the kernel.
-    fn check_before_request(&self) -> io::Result<()> {
+    fn check_before_request(&mut self) -> io::Result<()> {
         if self.meter.request_open.load(Ordering::Relaxed) {
             return Ok(());
         }
@@ -243,6 +276,7 @@
         match client_disconnect::check_before_write(&self.stream, exchange.conditions.as_ref())? {
             ConnectionCheck::Proceed => {
                 self.meter.request_open.store(true, Ordering::Relaxed);
+                self.head_scanner.reset(&self.meter.head_gate);
                 Ok(())
             }
             ConnectionCheck::RequestObsolete => {
@@ -294,11 +328,18 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        if this.head_scanner.is_blocked(&this.meter.head_gate) {
+            this.meter.head_gate.wait(cx.waker());
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        io_counts::record_read(&result, buf.filled().len() - before);
+        let result = Pin::new(&mut this.stream).poll_read(cx, buf);
+        let read = buf.filled().get(before..).unwrap_or_default();
+        io_counts::record_read(&result, read.len());
         ready!(result)?;
-        Poll::Ready(self.meter.count_read(buf.filled().len() - before))
+        this.head_scanner.feed(read);
+        Poll::Ready(this.meter.count_read(read.len()))
     }
 }
 
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -20,6 +20,7 @@
 use crate::client_disconnect::WriteConditions;
 use crate::connection::Connection;
 use crate::execution::{self, Termination, Written};
+use crate::headers::{self, LONG_HEAD_BYTES};
 use crate::log::Log;
 use crate::messages::{Answer, AttemptEnd, AttemptInfo, EventSink};
 use crate::metered_stream::Meter;
@@ -133,6 +134,12 @@
 }
 
 impl AnswerMemory<'_> {
+    /// Waits for the memory of a long head, which its connection keeps in its buffers.
+    async fn wait_for_long_head(&self, meter: &Meter) -> Option<BufferPermit> {
+        meter.mark_grown_buffers();
+        self.wait_for(self.buffers.acquire_bytes(LONG_HEAD_BYTES), meter).await
+    }
+
     /// Waits for a permit. The wait does not count as a pause of the upstream.
     async fn wait_for(
         &self,
@@ -158,12 +165,31 @@
 ) -> Result<Received, ExchangeError> {
     let interim_meter = meter.clone();
     hyper::ext::on_informational(&mut request, move |_| interim_meter.mark_interim_answer());
-    let response = sender.send_request(request).await.map_err(|_| ExchangeError::ConnectionLost)?;
+    let mut sending = std::pin::pin!(sender.send_request(request));
+    let mut head_memory = None;
+    let response = loop {
+        tokio::select! {
+            biased;
+            response = &mut sending => break response.map_err(|_| ExchangeError::ConnectionLost)?,
+            () = meter.head_gate().wait_until_memory_is_needed() => {
+                head_memory = memory.wait_for_long_head(meter).await;
+                meter.head_gate().allow();
+            }
+        }
+    };
     meter.mark_answer_started();
     let (head, mut body): (_, Incoming) = Response::into_parts(response);
     if let Some(reason) = malformed_reason(&head) {
         return Err(ExchangeError::Malformed(reason));
     }
+    if head_memory.is_none() && headers::is_long(&head.headers, 0) {
+        head_memory = memory.wait_for_long_head(meter).await;
+    }
+    // The memory of the head is held until the first bytes of the body are written behind it.
+    let with_head = |bytes: Bytes| match head_memory {
+        Some(permit) if !bytes.is_empty() => permit.attach_to(bytes),
+        _ => bytes,
+    };
     let length = body.size_hint().exact();
     let served = head.status == StatusCode::OK;
     let handling = match limits::body_handling(length) {
@@ -191,7 +217,8 @@
                 if let Some(AnswerHold { context, permit: Some(_), .. }) = &hold {
                     context.shared.answer_lengths.record(false);
                 }
-                let (Parts { status, headers, .. }, body) = (head, AnswerBody::Buffered(buffer.take()));
+                let (Parts { status, headers, .. }, body) =
+                    (head, AnswerBody::Buffered(with_head(buffer.take())));
                 return Ok(Received::Complete(Answer { status, headers, body }));
             }
             Some(Ok(frame)) => {
@@ -223,7 +250,7 @@
         }
     }
     let permit = hold.and_then(|hold| hold.permit);
-    Ok(Received::Streaming { head, first: buffer.take(), rest: body, length, permit })
+    Ok(Received::Streaming { head, first: with_head(buffer.take()), rest: body, length, permit })
 }
 
 /// An answer with this head and an empty body.
@@ -369,6 +396,9 @@
     events: EventSink<UpstreamEvent>,
 ) {
     let AttemptRequest { head: mut request, body, write_conditions } = attempt_request;
+    if headers::is_long(request.headers(), 0) {
+        connection.meter.mark_grown_buffers();
+    }
     // The attempt may have been cancelled, or the driver may have ended, before this task was first polled.
     if !matches!(cancelled.try_recv(), Err(oneshot::error::TryRecvError::Empty)) {
         events.send(UpstreamEvent::Ended {
