Heads of interim answers are followed, and uploads without memory are refused at once

The scanner now skips heads with a status of 1xx itself, and the gate opens once hyper has the head. answers_reach_clients::refusal_reaches_client_that_still_sends_its_body (200 for 503): a body of over 64 KiB by its stated length waited for the memory of its first bytes as a short one does, instead of being refused at once as documented; four refusals took longer than the 10 s after which the held memory returned.

--- a/crates/sidecar/src/front/body.rs
+++ b/crates/sidecar/src/front/body.rs
@@ -48,7 +48,12 @@
         let Ok(data) = frame.into_data() else { continue };
         if let Some(bytes) = buffer.missing_memory(data.len(), stated_length) {
             let waiting_since = Instant::now();
-            buffer.add_memory(wait_for_memory(bytes, deadline, front, activity).await?);
+            let is_long = stated_length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES as u64);
+            buffer.add_memory(match is_long {
+                // There is no queue for uploads.
+                true => front.buffers.try_acquire_transfer().ok_or(BodyError::NoMemory)?,
+                false => wait_for_memory(bytes, deadline, front, activity).await?,
+            });
             // The wait is not the client's fault.
             head_at += waiting_since.elapsed();
         }
--- a/crates/sidecar/src/head_gate.rs
+++ b/crates/sidecar/src/head_gate.rs
@@ -13,8 +13,6 @@
 #[derive(Default)]
 pub struct HeadGate {
     allowed: AtomicBool,
-    /// Whether another head follows, after an interim answer.
-    restarted: AtomicBool,
     memory_needed: Notify,
     reader: Mutex<Option<Waker>>,
 }
@@ -32,11 +30,6 @@
         reader.into_iter().for_each(Waker::wake);
     }
 
-    /// Records that the head was that of an interim answer.
-    pub fn restart(&self) {
-        self.restarted.store(true, Ordering::Relaxed);
-    }
-
     /// Asks for memory and has the reader woken when there is some.
     pub fn wait(&self, reader: &Waker) {
         *self.reader.lock().unwrap_or_else(PoisonError::into_inner) = Some(reader.clone());
@@ -44,40 +37,47 @@
     }
 }
 
-/// Finds the end of the head of an answer in the bytes that are read.
+/// Position of the first digit of the status in a head: `HTTP/1.1 200`.
+const STATUS_POSITION: usize = 9;
+
+/// Finds the end of the head of an answer in the bytes that are read. The heads of interim answers are skipped.
 #[derive(Debug, Default)]
 pub struct HeadScanner {
+    /// Bytes of the current head.
     bytes: usize,
     /// Whether the last line that ended was empty so far.
     line_is_empty: bool,
+    is_interim: bool,
     complete: bool,
 }
 
 impl HeadScanner {
     /// Takes in bytes of an answer.
     pub fn feed(&mut self, bytes: &[u8]) {
-        if self.complete {
-            return;
-        }
-        self.bytes += bytes.len();
         for byte in bytes {
-            match byte {
-                b'\n' if self.line_is_empty => self.complete = true,
-                b'\n' => self.line_is_empty = true,
-                b'\r' => {}
-                _ => self.line_is_empty = false,
-            }
             if self.complete {
                 return;
             }
+            self.feed_byte(*byte);
         }
     }
 
-    /// Whether the next bytes of the head must not be read.
-    pub fn is_blocked(&mut self, gate: &HeadGate) -> bool {
-        if gate.restarted.swap(false, Ordering::Relaxed) {
-            *self = HeadScanner::default();
+    fn feed_byte(&mut self, byte: u8) {
+        if self.bytes == STATUS_POSITION {
+            self.is_interim = byte == b'1';
+        }
+        self.bytes += 1;
+        match byte {
+            b'\n' if self.line_is_empty && self.is_interim => *self = HeadScanner::default(),
+            b'\n' if self.line_is_empty => self.complete = true,
+            b'\n' => self.line_is_empty = true,
+            b'\r' => {}
+            _ => self.line_is_empty = false,
         }
+    }
+
+    /// Whether the next bytes of the head must not be read.
+    pub fn is_blocked(&self, gate: &HeadGate) -> bool {
         !self.complete && self.bytes >= UNCHARGED_HEAD_BYTES && !gate.allowed.load(Ordering::Relaxed)
     }
 
@@ -85,7 +85,6 @@
     pub fn reset(&mut self, gate: &HeadGate) {
         *self = HeadScanner::default();
         gate.allowed.store(false, Ordering::Relaxed);
-        gate.restarted.store(false, Ordering::Relaxed);
     }
 }
 
@@ -103,7 +102,8 @@
             gate.allow();
             assert!(!scanner.is_blocked(&gate));
             scanner.reset(&gate);
-            let answer = [&b"HTTP/1.1 200 OK\r\nA: a\r\n\r\n"[..], &[b'b'; UNCHARGED_HEAD_BYTES]].concat();
+            let heads = b"HTTP/1.1 103 Hint\r\n\r\nHTTP/1.1 200 OK\r\nA: a\r\n\r\n";
+            let answer = [&heads[..], &[b'b'; UNCHARGED_HEAD_BYTES]].concat();
             answer.chunks(chunk_size).for_each(|chunk| scanner.feed(chunk));
             assert!(!scanner.is_blocked(&gate), "chunks of {chunk_size}");
         }
--- a/crates/sidecar/src/metered_stream.rs
+++ b/crates/sidecar/src/metered_stream.rs
@@ -114,7 +114,6 @@
     /// Records that the bytes received were an interim (1xx) answer: the final answer has not begun.
     pub fn mark_interim_answer(&self) {
         self.answer_started.store(false, Ordering::Relaxed);
-        self.head_gate.restart();
     }
 
     /// Records that the answer is complete: bytes that arrive before the next request is written belong to no
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -152,6 +152,7 @@
             }
         }
     };
+    meter.head_gate().allow();
     meter.mark_answer_started();
     let (head, mut body): (_, Incoming) = Response::into_parts(response);
     if let Some(reason) = malformed_reason(&head) {
