A part of the memory budget is never used for long transfers

Change: a long transfer takes 160 KiB, what it holds besides its two connections, which have their own; before, 256 counted these twice. An eighth of the budget is not for transfers.

--- a/crates/daemon/tests/grants.rs
+++ b/crates/daemon/tests/grants.rs
@@ -5,7 +5,7 @@
 use sagemast_daemon::config::{Fleet, InstanceSpec};
 use sagemast_daemon::fleet_file::load;
 use sagemast_daemon::grants::Grants;
-use sagemast_sidecar::resource_limits::{TRANSFER_KIB, connections_kib};
+use sagemast_sidecar::resource_limits::{BUFFER_KIB_PER_TRANSFER, connections_kib};
 
 const FLEET: &str = r#"
 [daemon]
@@ -32,7 +32,7 @@
 }
 
 fn memory_kib(spec: &InstanceSpec, transfers: usize) -> usize {
-    connections_kib(spec.connections()) + transfers * TRANSFER_KIB
+    connections_kib(spec.connections()) + transfers * BUFFER_KIB_PER_TRANSFER
 }
 
 /// Guards against an instance whose buffers may take more than its `memory_mb`, at its start and after a change.
--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use crate::resource_limits::TRANSFER_KIB;
+use crate::resource_limits::{BUFFER_KIB_PER_TRANSFER, TRANSFER_KIB};
 
 const KIB: usize = 1 << 10;
 /// Part of a budget that may be used for buffers that their owners can do without.
@@ -97,128 +97,183 @@
     }
 }
 
+/// A semaphore whose limit may change while permits are held.
+#[derive(Debug)]
+struct ResizableSemaphore {
+    semaphore: Arc<Semaphore>,
+    limit: AtomicUsize,
+    /// Number of held permits above a limit that has shrunk. That many permits are discarded instead of
+    /// returned when they are dropped.
+    excess: Mutex<usize>,
+}
+
+impl ResizableSemaphore {
+    fn new(limit: usize) -> Arc<ResizableSemaphore> {
+        let limit = limit.min(Semaphore::MAX_PERMITS);
+        let semaphore = Arc::new(Semaphore::new(limit));
+        Arc::new(ResizableSemaphore { semaphore, limit: AtomicUsize::new(limit), excess: Mutex::new(0) })
+    }
+
+    fn try_acquire(self: &Arc<Self>, permits: usize) -> Option<ResizablePermit> {
+        let permits = u32::try_from(permits).ok()?;
+        let permit = self.semaphore.clone().try_acquire_many_owned(permits).ok()?;
+        Some(ResizablePermit { permit: Some(permit), state: self.clone() })
+    }
+
+    async fn acquire(self: &Arc<Self>, permits: usize) -> Option<ResizablePermit> {
+        let permits = u32::try_from(permits).ok()?;
+        // The semaphore is never closed, so that acquiring does not fail.
+        let permit = self.semaphore.clone().acquire_many_owned(permits).await.ok()?;
+        Some(ResizablePermit { permit: Some(permit), state: self.clone() })
+    }
+
+    fn limit(&self) -> usize {
+        self.limit.load(Ordering::Relaxed)
+    }
+
+    fn in_use(&self) -> usize {
+        let excess = *self.excess.lock().unwrap_or_else(PoisonError::into_inner);
+        (self.limit() + excess).saturating_sub(self.semaphore.available_permits())
+    }
+
+    /// Changes the limit. Held permits above a smaller limit stay valid until they are returned.
+    fn set_limit(&self, limit: usize) {
+        let limit = limit.min(Semaphore::MAX_PERMITS);
+        let mut excess = self.excess.lock().unwrap_or_else(PoisonError::into_inner);
+        let previous = self.limit.swap(limit, Ordering::Relaxed);
+        // A larger limit first covers held permits above the previous one.
+        let added = limit.saturating_sub(previous);
+        let covered = added.min(*excess);
+        self.semaphore.add_permits(added - covered);
+        *excess = *excess - covered + previous.saturating_sub(limit);
+        *excess -= self.semaphore.forget_permits(*excess);
+    }
+}
+
+/// Permits of a [`ResizableSemaphore`]; returned when dropped.
+#[derive(Debug)]
+struct ResizablePermit {
+    permit: Option<OwnedSemaphorePermit>,
+    state: Arc<ResizableSemaphore>,
+}
+
+impl ResizablePermit {
+    fn count(&self) -> usize {
+        self.permit.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
+    }
+
+    /// Adds the permits of another one of the same semaphore.
+    fn merge(&mut self, mut other: ResizablePermit) {
+        if let (Some(permit), Some(other)) = (&mut self.permit, other.permit.take()) {
+            permit.merge(other);
+        }
+    }
+}
+
+impl Drop for ResizablePermit {
+    fn drop(&mut self) {
+        let Some(mut permit) = self.permit.take() else { return };
+        let mut excess = self.state.excess.lock().unwrap_or_else(PoisonError::into_inner);
+        let discarded = permit.num_permits().min(*excess);
+        *excess -= discarded;
+        permit.split(discarded).into_iter().for_each(OwnedSemaphorePermit::forget);
+    }
+}
+
 /// The memory that the large buffers of an instance draw on: those of long bodies that are streamed
 /// ([`TRANSFER_KIB`] each), of bodies that are held whole, and of requests that are read ahead. Unlike with a
 /// [`Quota`], a permit can be waited for; who waits longest gets the next one.
+///
+/// Long bodies take seconds, so that a part of the memory is never used for them
+/// ([`BUFFER_KIB_PER_TRANSFER`]): short ones would have to wait for them.
 #[derive(Debug, Clone)]
-pub struct BufferBudget(Arc<BufferState>);
-
-#[derive(Debug)]
-struct BufferState {
+pub struct BufferBudget {
     /// One permit for each KiB.
-    semaphore: Arc<Semaphore>,
-    limit_kib: AtomicUsize,
-    /// KiB held above a limit that has shrunk. As many are discarded instead of returned when permits are
-    /// dropped.
-    excess_kib: Mutex<usize>,
+    kib: Arc<ResizableSemaphore>,
+    /// One permit for each long body.
+    transfers: Arc<ResizableSemaphore>,
 }
 
 impl BufferBudget {
     /// Creates a budget for `transfers` long bodies at the same time.
     pub fn new(transfers: usize) -> BufferBudget {
-        let limit_kib = kib_of_transfers(transfers);
-        let semaphore = Arc::new(Semaphore::new(limit_kib));
-        BufferBudget(Arc::new(BufferState {
-            semaphore,
-            limit_kib: AtomicUsize::new(limit_kib),
-            excess_kib: Mutex::new(0),
-        }))
+        BufferBudget {
+            kib: ResizableSemaphore::new(transfers.saturating_mul(BUFFER_KIB_PER_TRANSFER)),
+            transfers: ResizableSemaphore::new(transfers),
+        }
     }
 
     /// Takes the memory for a long body, if it is available.
     pub fn try_acquire_transfer(&self) -> Option<BufferPermit> {
-        self.try_acquire_kib(TRANSFER_KIB)
+        self.try_extend_to_transfer(None)
     }
 
     /// Takes the memory for a long body of which the first bytes are held under the permit `held`, if there is
     /// one. `None` if the memory is not available.
     pub fn try_extend_to_transfer(&self, held: Option<BufferPermit>) -> Option<BufferPermit> {
-        let Some(mut held) = held else { return self.try_acquire_transfer() };
-        let missing_kib = TRANSFER_KIB.saturating_sub(held.kib());
-        held.merge(self.try_acquire_kib(missing_kib)?);
-        Some(held)
+        if held.as_ref().is_some_and(|held| held.transfer.is_some()) {
+            return held;
+        }
+        let transfer = self.transfers.try_acquire(1)?;
+        let held_kib = held.as_ref().map_or(0, BufferPermit::kib);
+        let mut memory = self.kib.try_acquire(TRANSFER_KIB.saturating_sub(held_kib))?;
+        held.into_iter().for_each(|held| memory.merge(held.memory));
+        Some(BufferPermit { memory, transfer: Some(transfer) })
     }
 
     /// Waits for the memory for a long body.
     pub async fn acquire_transfer(&self) -> Option<BufferPermit> {
-        self.acquire_kib(TRANSFER_KIB).await
+        let transfer = self.transfers.acquire(1).await?;
+        let memory = self.kib.acquire(TRANSFER_KIB).await?;
+        Some(BufferPermit { memory, transfer: Some(transfer) })
     }
 
     /// Waits for the memory for a buffer of this size.
     pub async fn acquire_bytes(&self, bytes: usize) -> Option<BufferPermit> {
-        self.acquire_kib(bytes.div_ceil(KIB)).await
+        let memory = self.kib.acquire(bytes.div_ceil(KIB)).await?;
+        Some(BufferPermit { memory, transfer: None })
     }
 
     /// Takes the memory for a buffer that its owner can do without. Most of the budget is kept for others.
     pub fn try_acquire_spare_bytes(&self, bytes: usize) -> Option<BufferPermit> {
         let kib = bytes.div_ceil(KIB);
-        let limit_kib = self.0.limit_kib.load(Ordering::Relaxed);
+        let limit_kib = self.kib.limit();
         let reserve_kib = limit_kib - limit_kib / SPARE_DIVISOR;
-        (self.0.semaphore.available_permits() >= reserve_kib + kib)
-            .then(|| self.try_acquire_kib(kib))
-            .flatten()
-    }
-
-    fn try_acquire_kib(&self, kib: usize) -> Option<BufferPermit> {
-        let permit = self.0.semaphore.clone().try_acquire_many_owned(u32::try_from(kib).ok()?).ok()?;
-        Some(BufferPermit { permit: Some(permit), state: self.0.clone() })
-    }
-
-    async fn acquire_kib(&self, kib: usize) -> Option<BufferPermit> {
-        // The semaphore is never closed, so that acquiring does not fail.
-        let permit = self.0.semaphore.clone().acquire_many_owned(u32::try_from(kib).ok()?).await.ok()?;
-        Some(BufferPermit { permit: Some(permit), state: self.0.clone() })
+        if self.kib.semaphore.available_permits() < reserve_kib + kib {
+            return None;
+        }
+        Some(BufferPermit { memory: self.kib.try_acquire(kib)?, transfer: None })
     }
 
     /// How many long bodies the budget is for.
     pub fn limit(&self) -> usize {
-        self.0.limit_kib.load(Ordering::Relaxed) / TRANSFER_KIB
+        self.transfers.limit()
     }
 
     /// For how many long bodies the memory is in use, rounded up.
     pub fn in_use(&self) -> usize {
-        let excess_kib = *self.0.excess_kib.lock().unwrap_or_else(PoisonError::into_inner);
-        let held_kib = (self.0.limit_kib.load(Ordering::Relaxed) + excess_kib)
-            .saturating_sub(self.0.semaphore.available_permits());
-        held_kib.div_ceil(TRANSFER_KIB)
+        self.transfers.in_use().max(self.kib.in_use().div_ceil(BUFFER_KIB_PER_TRANSFER))
     }
 
     /// Changes the limit. Held permits above a smaller limit stay valid until they are returned.
     pub fn set_limit(&self, transfers: usize) {
-        let limit_kib = kib_of_transfers(transfers);
-        let mut excess_kib = self.0.excess_kib.lock().unwrap_or_else(PoisonError::into_inner);
-        let previous_kib = self.0.limit_kib.swap(limit_kib, Ordering::Relaxed);
-        // A larger limit first covers held permits above the previous one.
-        let added = limit_kib.saturating_sub(previous_kib);
-        let covered = added.min(*excess_kib);
-        self.0.semaphore.add_permits(added - covered);
-        *excess_kib = *excess_kib - covered + previous_kib.saturating_sub(limit_kib);
-        *excess_kib -= self.0.semaphore.forget_permits(*excess_kib);
+        self.kib.set_limit(transfers.saturating_mul(BUFFER_KIB_PER_TRANSFER));
+        self.transfers.set_limit(transfers);
     }
 }
 
-fn kib_of_transfers(transfers: usize) -> usize {
-    transfers.saturating_mul(TRANSFER_KIB).min(Semaphore::MAX_PERMITS)
-}
-
 /// Memory of a [`BufferBudget`]; returned when dropped.
 #[derive(Debug)]
 pub struct BufferPermit {
-    permit: Option<OwnedSemaphorePermit>,
-    state: Arc<BufferState>,
+    memory: ResizablePermit,
+    /// Set for a long body.
+    transfer: Option<ResizablePermit>,
 }
 
 impl BufferPermit {
     /// The size of the memory in KiB.
     pub fn kib(&self) -> usize {
-        self.permit.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
-    }
-
-    /// Adds the memory of another permit of the same budget.
-    fn merge(&mut self, mut other: BufferPermit) {
-        if let (Some(permit), Some(other)) = (&mut self.permit, other.permit.take()) {
-            permit.merge(other);
-        }
+        self.memory.count()
     }
 
     /// Ties the memory to its buffer: it is returned when the last reference to the bytes is dropped.
@@ -227,16 +282,6 @@
     }
 }
 
-impl Drop for BufferPermit {
-    fn drop(&mut self) {
-        let Some(mut permit) = self.permit.take() else { return };
-        let mut excess_kib = self.state.excess_kib.lock().unwrap_or_else(PoisonError::into_inner);
-        let discarded = permit.num_permits().min(*excess_kib);
-        *excess_kib -= discarded;
-        permit.split(discarded).into_iter().for_each(OwnedSemaphorePermit::forget);
-    }
-}
-
 /// A buffer together with the permit for its memory.
 struct PermittedBytes {
     bytes: Bytes,
@@ -405,7 +450,7 @@
     async fn spare_memory_leaves_most_of_the_budget_to_others() {
         let budget = BufferBudget::new(4);
         let spare: Vec<_> = std::iter::from_fn(|| budget.try_acquire_spare_bytes(64 * KIB)).collect();
-        assert_eq!(spare.len(), 4);
+        assert_eq!(spare.len(), 2);
         assert!((0..3).map(|_| budget.try_acquire_transfer()).all(|permit| permit.is_some()));
     }
 
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 
 use crate::hosts::HostList;
-use crate::resource_limits::{ResourceLimits, TRANSFER_KIB, connections_kib, divide};
+use crate::resource_limits::{BUFFER_KIB_PER_TRANSFER, ResourceLimits, connections_kib, divide};
 
 /// The configuration file.
 #[derive(Deserialize)]
@@ -74,7 +74,7 @@
     /// For how many long bodies the memory of a daemon's instance suffices beside that of its connections.
     pub fn max_transfers(&self, reserved_descriptors: usize) -> usize {
         let connections_kib = connections_kib(self.max_connections(reserved_descriptors));
-        (self.memory_mb.saturating_mul(1024).saturating_sub(connections_kib) / TRANSFER_KIB).max(1)
+        (self.memory_mb.saturating_mul(1024).saturating_sub(connections_kib) / BUFFER_KIB_PER_TRANSFER).max(1)
     }
 }
 
--- a/crates/sidecar/src/front/tests.rs
+++ b/crates/sidecar/src/front/tests.rs
@@ -179,7 +179,10 @@
         true
     });
     let front = Arc::new(Front { events, ..Arc::into_inner(front).expect("another reference") });
-    let taken: Vec<_> = std::iter::from_fn(|| front.buffers.try_acquire_transfer()).collect();
+    let mut taken = Vec::new();
+    while let Ok(permit) = tokio::time::timeout(Duration::ZERO, front.buffers.acquire_bytes(16 << 10)).await {
+        taken.push(permit);
+    }
     let request = |body_bytes: usize| {
         let head =
             "PUT /a HTTP/1.1\r\nHost: x\r\nX-Request-ID: 1\r\nX-Priority-Class: a\r\nX-Timeout-Ms: 600\r\n";
--- a/crates/sidecar/src/resource_limits.rs
+++ b/crates/sidecar/src/resource_limits.rs
@@ -17,9 +17,12 @@
 /// Memory of a busy client connection together with a connection to an upstream, in KiB: their tasks, the
 /// buffers of hyper and a short body each way. All other buffers draw on the memory of long bodies.
 const CONNECTION_PAIR_KIB: usize = 112;
-/// Memory of a long body that is streamed, in KiB: chunks of 32 KiB on their way through two connections. The
-/// buffers of other bodies draw on the same memory ([`BufferBudget`](crate::budget::BufferBudget)).
-pub const TRANSFER_KIB: usize = 256;
+/// Memory of a long body that is streamed, in KiB, beside that of its connections: its first bytes, which are kept while
+/// it can still be sent again, and chunks of 32 KiB on their way.
+pub const TRANSFER_KIB: usize = 160;
+/// Memory of the buffers for each long body, in KiB. An eighth is for the buffers of other bodies alone
+/// ([`BufferBudget`](crate::budget::BufferBudget)).
+pub const BUFFER_KIB_PER_TRANSFER: usize = 184;
 /// With fewer connections on each side a sidecar is of no use.
 const MIN_CONNECTIONS: usize = 8;
 /// With fewer long bodies at the same time a sidecar is of no use.
@@ -51,7 +54,7 @@
             if console { " and its console" } else { "" },
         ));
     }
-    let min_traffic_kib = MIN_CONNECTIONS * CONNECTION_PAIR_KIB + MIN_TRANSFERS * TRANSFER_KIB;
+    let min_traffic_kib = MIN_CONNECTIONS * CONNECTION_PAIR_KIB + MIN_TRANSFERS * BUFFER_KIB_PER_TRANSFER;
     let processes_kib = max_processes * PROCESS_MIB * 1024;
     let limit_kib = limits.memory_mb.saturating_mul(1024);
     if limit_kib < processes_kib + min_traffic_kib {
@@ -70,7 +73,10 @@
     let max_by_descriptors = (limits.sockets - max_processes * per_process) / 2;
     let connections = max_by_memory.min(max_by_descriptors).max(MIN_CONNECTIONS);
     let transfers_kib = traffic_kib.saturating_sub(connections_kib(connections)).min(traffic_kib / 2);
-    Ok(ResourceLimits { connections, transfers: (transfers_kib / TRANSFER_KIB).max(MIN_TRANSFERS) })
+    Ok(ResourceLimits {
+        connections,
+        transfers: (transfers_kib / BUFFER_KIB_PER_TRANSFER).max(MIN_TRANSFERS),
+    })
 }
 
 /// Memory in KiB for this limit of connections, with those that are accepted above it.
@@ -101,7 +107,7 @@
                     assert!(max_processes * per_process + 2 * connections <= sockets);
                     let used_kib = max_processes * PROCESS_MIB * 1024
                         + (connections + MAX_CONNECTIONS_ABOVE_LIMIT) * CONNECTION_PAIR_KIB
-                        + transfers * TRANSFER_KIB;
+                        + transfers * BUFFER_KIB_PER_TRANSFER;
                     assert!(connections >= MIN_CONNECTIONS && transfers >= MIN_TRANSFERS);
                     // With the least memory, the minimum of connections is granted, and what may be above it.
                     let least = connections == MIN_CONNECTIONS;
