--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! if the case couldn't run. With `TROUBLE=0` the case runs without its disruption.
 
 mod harness;
+mod left;
 mod pipeline;
 
 use std::time::Duration;
@@ -30,6 +31,7 @@
     });
     let held = match name.as_str() {
         "pipeline" => pipeline::run(&case, &world),
+        "left" => left::run(&case, &world),
         _ => Err(format!("there is no case {name}")),
     };
     world.stop.set();
