--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod harness;
 mod left;
 mod pipeline;
+mod unread;
 
 use std::time::Duration;
 
@@ -32,6 +33,7 @@
     let held = match name.as_str() {
         "pipeline" => pipeline::run(&case, &world),
         "left" => left::run(&case, &world),
+        "unread" => unread::run(&case, &world),
         _ => Err(format!("there is no case {name}")),
     };
     world.stop.set();
