--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod harness;
 mod left;
 mod pipeline;
+mod reload;
 mod unread;
 
 use std::time::Duration;
@@ -34,6 +35,7 @@
         "pipeline" => pipeline::run(&case, &world),
         "left" => left::run(&case, &world),
         "unread" => unread::run(&case, &world),
+        "reload" => reload::run(&case, &world),
         _ => Err(format!("there is no case {name}")),
     };
     world.stop.set();
