--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod pipeline;
 mod reload;
 mod unread;
+mod upgrade;
 
 use std::time::Duration;
 
@@ -36,6 +37,7 @@
         "left" => left::run(&case, &world),
         "unread" => unread::run(&case, &world),
         "reload" => reload::run(&case, &world),
+        "upgrade" => upgrade::run(&case, &world),
         _ => Err(format!("there is no case {name}")),
     };
     world.stop.set();
