Review case 6: an id that is copied during a long answer goes out a second time

Cause: the driver forgets the id of a request when its answer begins to be streamed. Change: review/6 with its script; the other cases move down one place, the gravest first.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,12 +1,12 @@
 //! The cases 6 to 10 of the review: `standin NAME FOLDER`. Exits with 0 if the rule held, 1 if it was broken, and 2
 //! if the case couldn't run. With `TROUBLE=0` the case runs without its disruption.
 
+mod copied;
 mod harness;
 mod left;
 mod pipeline;
 mod reload;
 mod unread;
-mod upgrade;
 
 use std::time::Duration;
 
@@ -33,11 +33,11 @@
         std::process::exit(2);
     });
     let held = match name.as_str() {
+        "copied" => copied::run(&case, &world),
         "pipeline" => pipeline::run(&case, &world),
         "left" => left::run(&case, &world),
         "unread" => unread::run(&case, &world),
         "reload" => reload::run(&case, &world),
-        "upgrade" => upgrade::run(&case, &world),
         _ => Err(format!("there is no case {name}")),
     };
     world.stop.set();
