--- a/review/standin-2/harness.rs
+++ b/review/standin-2/harness.rs
@@ -956,3 +956,21 @@
     })
 }
 
+
+/// Counts by name, for the last line of a record.
+#[derive(Default)]
+pub struct Counts(Mutex<std::collections::BTreeMap<String, u64>>);
+
+impl Counts {
+    pub fn add(&self, name: &str) {
+        *lock(&self.0).entry(name.to_owned()).or_default() += 1;
+    }
+    pub fn get(&self, name: &str) -> u64 {
+        lock(&self.0).get(name).copied().unwrap_or(0)
+    }
+    pub fn text(&self) -> String {
+        let counts = lock(&self.0);
+        let named: Vec<_> = counts.iter().map(|(name, count)| format!("{name} {count}")).collect();
+        named.join(", ")
+    }
+}
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 
 mod copied;
 mod harness;
+mod late;
 mod left;
 mod pipeline;
 mod reload;
@@ -35,6 +36,7 @@
     let held = match name.as_str() {
         "copied" => copied::run(&case, &world),
         "pipeline" => pipeline::run(&case, &world),
+        "late" => late::run(&case, &world),
         "left" => left::run(&case, &world),
         "unread" => unread::run(&case, &world),
         "reload" => reload::run(&case, &world),
