--- a/review/standin-2/copied.rs
+++ b/review/standin-2/copied.rs
@@ -44,10 +44,9 @@
         }
     });
     let (_upstreams, hosts) = world.upstreams(8, &behaviour);
-    let discovery = Discovery::new(hosts.clone(), world);
-    let service = discovery.serve();
+    let discovery = Discovery::start(hosts.clone(), world);
     let listen = free_address();
-    let sidecar = case.sidecar("n1", &Deployment::new(listen, service.address, &hosts))?;
+    let sidecar = case.sidecar("n1", &Deployment::new(listen, discovery.address, &hosts))?;
     sidecar.wait_until_up(listen)?;
     let (mut twice, mut served) = (0, 0);
     for round in 0..ROUNDS {
--- a/review/standin-2/cut.rs
+++ b/review/standin-2/cut.rs
@@ -38,17 +38,17 @@
                         request.upstream, request.id
                     ));
                 } else {
-                    record.line(format!("u{}: {}: has written its whole answer", request.upstream, request.id));
+                    record
+                        .line(format!("u{}: {}: has written its whole answer", request.upstream, request.id));
                 }
                 result
             }),
         }
     });
     let (_upstreams, hosts) = world.upstreams(9, &behaviour);
-    let discovery = Discovery::new(hosts.clone(), world);
-    let service = discovery.serve();
+    let discovery = Discovery::start(hosts.clone(), world);
     let listen = free_address();
-    let sidecar = case.sidecar("n1", &Deployment::new(listen, service.address, &hosts))?;
+    let sidecar = case.sidecar("n1", &Deployment::new(listen, discovery.address, &hosts))?;
     sidecar.wait_until_up(listen)?;
     let counts = Arc::new(Counts::default());
     let clients: Vec<_> = (0..CLIENTS)
--- a/review/standin-2/harness.rs
+++ b/review/standin-2/harness.rs
@@ -3,8 +3,8 @@
 //! Standard library only; every address is a loopback address.
 
 use std::fmt::Write as _;
-use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
@@ -53,9 +53,6 @@
     pub fn unit(&mut self) -> f64 {
         (self.bits() >> 11) as f64 / (1u64 << 53) as f64
     }
-    pub fn between(&mut self, low: f64, high: f64) -> f64 {
-        low + (high - low) * self.unit()
-    }
     pub fn exp(&mut self, mean: f64) -> f64 {
         -mean * (1.0 - self.unit()).ln()
     }
@@ -221,63 +218,37 @@
     spoilt: Option<(String, String)>,
 }
 
-/// Discovery: a list with its versions, served at one address or at several.
+/// Discovery that pushes: an agent that answers at once.
 #[derive(Clone)]
 pub struct Discovery {
+    pub address: SocketAddr,
     versions: Arc<(Mutex<Versions>, Condvar)>,
-    /// How long a call waits for its turn, in milliseconds.
-    pub turn_ms: Arc<AtomicU64>,
     stop: Stop,
     record: Arc<Record>,
 }
 
-/// One address at which discovery is served.
-pub struct Service {
-    pub address: SocketAddr,
-    closed: Stop,
-}
-
-impl Service {
-    /// Takes no new connection from now on, and closes the open ones after 1.5 s.
-    pub fn close(&self) {
-        self.closed.set();
-    }
-}
-
 impl Discovery {
-    pub fn new(hosts: Vec<Host>, world: &World) -> Discovery {
+    pub fn start(hosts: Vec<Host>, world: &World) -> Discovery {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
         let versions = Versions { seq: FIRST_VERSION, hosts, changes: Vec::new(), spoilt: None };
-        Discovery {
+        let discovery = Discovery {
+            address: listener.local_addr().expect("its address"),
             versions: Arc::new((Mutex::new(versions), Condvar::new())),
-            turn_ms: Arc::default(),
             stop: world.stop.clone(),
             record: world.record.clone(),
-        }
-    }
-
-    /// Serves at a new address.
-    pub fn serve(&self) -> Service {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-        let address = listener.local_addr().expect("its address");
-        listener.set_nonblocking(true).expect("a listener");
-        let closed = Stop::default();
-        let service = Service { address, closed: closed.clone() };
-        let discovery = self.clone();
+        };
+        let shared = discovery.clone();
         std::thread::spawn(move || {
-            while !closed.is_set() {
-                let Ok((stream, _)) = listener.accept() else {
-                    sleep(ms(2));
-                    continue;
-                };
-                let (discovery, closed) = (discovery.clone(), closed.clone());
+            for stream in listener.incoming().flatten() {
+                let discovery = shared.clone();
                 std::thread::spawn(move || {
-                    if let Err(error) = discovery.answer(stream, &closed) {
-                        discovery.record.line(format!("discovery: a call at {address} has ended: {error}"));
+                    if let Err(error) = discovery.answer(stream) {
+                        discovery.record.line(format!("discovery: a call has ended: {error}"));
                     }
                 });
             }
         });
-        service
+        discovery
     }
 
     /// Changes one host's entry. With `spoilt`, that text arrives as another one wherever a watch is open.
@@ -298,15 +269,14 @@
         self.record.clock.now()
     }
 
-    fn answer(&self, mut stream: TcpStream, closed: &Stop) -> io::Result<()> {
-        stream.set_nonblocking(false)?;
+    fn answer(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         let Some(head) = read_head(&mut reader)? else { return Ok(()) };
-        let from = head.first.split("from=").nth(1).and_then(|rest| rest.split([' ', '&']).next()?.parse().ok());
+        let from =
+            head.first.split("from=").nth(1).and_then(|rest| rest.split([' ', '&']).next()?.parse().ok());
         let from: u64 = from.unwrap_or(0);
         self.record.line(format!("discovery: call {}", head.first));
-        sleep(ms(self.turn_ms.load(Ordering::SeqCst)));
         let (versions, changed) = &*self.versions;
         let mut sent = {
             let versions = lock(versions);
@@ -317,11 +287,8 @@
             versions.seq
         };
         self.record.line(format!("discovery: answered {} up to version {sent}", head.first));
-        let (mut told_at, mut closed_at) = (Instant::now(), None);
+        let mut told_at = Instant::now();
         while !self.stop.is_set() {
-            if closed.is_set() && closed_at.get_or_insert_with(Instant::now).elapsed() > ms(1_500) {
-                return stream.shutdown(Shutdown::Both);
-            }
             let guard = lock(versions);
             let (guard, _) = changed.wait_timeout_while(guard, ms(100), |v| v.seq == sent).expect("no panic");
             let text = match guard.seq == sent {
@@ -362,24 +329,18 @@
     pub upstream: usize,
     pub id: String,
     pub class: String,
-    /// When its head had come, and its last byte (milliseconds of the record's clock).
+    /// When its head had come, in milliseconds of the record's clock.
     pub head_at: f64,
-    pub at: f64,
     pub timeout_ms: u64,
     pub body_bytes: usize,
-    pub key: String,
 }
 
 /// What an upstream does with one request.
 pub enum Reply {
     /// Work for this long, then answer 200 with a body that names the request and the upstream.
     Serve { after: Duration },
-    /// Work for this long, then answer with this status and these extra header lines.
-    Status { after: Duration, status: u16, headers: &'static str },
     /// Work for this long, then reset the connection.
     Reset { after: Duration },
-    /// Never answer.
-    Hang,
     /// Serve, and do more with the connection: the closure gets the stream and the answer's bytes.
     Custom { after: Duration, act: Box<dyn FnOnce(&mut TcpStream, &[u8]) -> io::Result<()> + Send> },
 }
@@ -389,8 +350,6 @@
 pub struct Upstream {
     pub number: usize,
     pub address: SocketAddr,
-    pub in_flight: Arc<AtomicU64>,
-    pub served: Arc<AtomicU64>,
 }
 
 impl Upstream {
@@ -422,7 +381,8 @@
 
     /// Starts so many upstreams in two zones, and gives their entries in the list.
     pub fn upstreams(&self, count: usize, behaviour: &Behaviour) -> (Vec<Upstream>, Vec<Host>) {
-        let upstreams: Vec<Upstream> = (0..count).map(|number| self.upstream(number, behaviour.clone())).collect();
+        let upstreams: Vec<Upstream> =
+            (0..count).map(|number| self.upstream(number, behaviour.clone())).collect();
         let hosts = upstreams.iter().map(|upstream| upstream.host("ready")).collect();
         (upstreams, hosts)
     }
@@ -430,21 +390,31 @@
     pub fn upstream(&self, number: usize, behaviour: Behaviour) -> Upstream {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
         let address = listener.local_addr().expect("its address");
-        let (in_flight, served) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
-        let upstream = Upstream { number, address, in_flight: in_flight.clone(), served: served.clone() };
-        let (record, arrived) = (self.record.clone(), self.arrived.clone());
+        let shared = UpstreamShared {
+            record: self.record.clone(),
+            arrived: self.arrived.clone(),
+            behaviour,
+            in_flight: Arc::default(),
+        };
         std::thread::spawn(move || {
-            for stream in listener.incoming() {
-                let Ok(stream) = stream else { continue };
-                let shared = (record.clone(), arrived.clone(), behaviour.clone(), in_flight.clone(), served.clone());
+            for stream in listener.incoming().flatten() {
+                let shared = shared.clone();
+                // A connection ends with an error or without one.
                 std::thread::spawn(move || drop(serve_requests(stream, number, &shared)));
             }
         });
-        upstream
+        Upstream { number, address }
     }
 }
 
-type UpstreamShared = (Arc<Record>, Arc<Mutex<Vec<Arrived>>>, Behaviour, Arc<AtomicU64>, Arc<AtomicU64>);
+/// What the connections of one upstream share.
+#[derive(Clone)]
+struct UpstreamShared {
+    record: Arc<Record>,
+    arrived: Arc<Mutex<Vec<Arrived>>>,
+    behaviour: Behaviour,
+    in_flight: Arc<AtomicU64>,
+}
 
 /// The body made for one request.
 pub fn body_for(id: &str, upstream: usize) -> String {
@@ -452,11 +422,12 @@
 }
 
 pub fn ok_answer(body: &str) -> Vec<u8> {
-    format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+        .into_bytes()
 }
 
 fn serve_requests(mut stream: TcpStream, number: usize, shared: &UpstreamShared) -> io::Result<()> {
-    let (record, arrived, behaviour, in_flight, served) = shared;
+    let UpstreamShared { record, arrived, behaviour, in_flight } = shared;
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     while let Some(head) = read_head(&mut reader)? {
@@ -481,10 +452,8 @@
             id: head.get("x-request-id").unwrap_or("").to_owned(),
             class,
             head_at,
-            at: record.clock.now(),
             timeout_ms: head.get("x-timeout-ms").and_then(|text| text.parse().ok()).unwrap_or(0),
             body_bytes: body.len(),
-            key: head.get("idempotency-key").unwrap_or("").to_owned(),
         };
         record.line(format!(
             "u{number}: got {} {} ({} bytes of body; told {} ms)",
@@ -498,16 +467,9 @@
             Reply::Serve { after } => {
                 sleep(after);
                 in_flight.fetch_sub(1, Ordering::SeqCst);
-                served.fetch_add(1, Ordering::SeqCst);
                 record.line(format!("u{number}: ran and answered {}", request.id));
                 stream.write_all(&answer)
             }
-            Reply::Status { after, status, headers } => {
-                sleep(after);
-                in_flight.fetch_sub(1, Ordering::SeqCst);
-                record.line(format!("u{number}: {} answered {status}", request.id));
-                write!(stream, "HTTP/1.1 {status} X\r\n{headers}Content-Length: 2\r\n\r\nno")
-            }
             Reply::Reset { after } => {
                 sleep(after);
                 in_flight.fetch_sub(1, Ordering::SeqCst);
@@ -515,17 +477,9 @@
                 reset(&stream);
                 return Ok(());
             }
-            Reply::Hang => {
-                // Until the sidecar gives up, or the case ends.
-                let mut rest = [0; 256];
-                while reader.read(&mut rest)? > 0 {}
-                in_flight.fetch_sub(1, Ordering::SeqCst);
-                return Ok(());
-            }
             Reply::Custom { after, act } => {
                 sleep(after);
                 in_flight.fetch_sub(1, Ordering::SeqCst);
-                served.fetch_add(1, Ordering::SeqCst);
                 act(&mut stream, &answer)
             }
         };
@@ -542,88 +496,15 @@
 
 unsafe extern "C" {
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const core::ffi::c_void, length: u32) -> i32;
-    fn kill(pid: i32, signal: i32) -> i32;
-    fn dup2(from: i32, to: i32) -> i32;
-    fn fcntl(fd: i32, command: i32, ...) -> i32;
-    fn poll(fds: *mut PollFd, count: u64, timeout_ms: i32) -> i32;
-}
-
-/// Sets the flags of a descriptor.
-const F_SETFD: i32 = 2;
-
-#[repr(C)]
-struct PollFd {
-    fd: i32,
-    events: i16,
-    revents: i16,
 }
 
-/// Whether bytes (or the end) wait on a connection.
-pub fn is_readable(stream: &TcpStream) -> bool {
-    let mut fd = PollFd { fd: stream.as_raw_fd(), events: 1, revents: 0 };
-    // SAFETY: one valid entry, and the call does not block.
-    unsafe { poll(&mut fd, 1, 0) > 0 }
-}
-
-/// Makes the connection end with a reset, and ends it. Other handles of it must not stay in use.
+/// Makes the connection end with a reset once its last handle is dropped.
 pub fn reset(stream: &TcpStream) {
     let linger = Linger { on: 1, seconds: 0 };
     // SAFETY: SOL_SOCKET (1) and SO_LINGER (13) of Linux, with a value of the right layout.
     unsafe { setsockopt(stream.as_raw_fd(), 1, 13, (&raw const linger).cast(), 8) };
 }
 
-pub const SIGHUP: i32 = 1;
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
-
-// --- The network: a relay that delays both directions --------------------------------------------------
-
-/// Relays connections to `target`, each byte later by `delay`.
-pub fn delaying_relay(target: SocketAddr, delay: Duration) -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    let address = listener.local_addr().expect("its address");
-    std::thread::spawn(move || {
-        for near in listener.incoming() {
-            let Ok(near) = near else { continue };
-            std::thread::spawn(move || {
-                let Ok(far) = TcpStream::connect(target) else { return };
-                let _ = (near.set_nodelay(true), far.set_nodelay(true));
-                let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) else { return };
-                std::thread::spawn(move || relay(near_copy, far, delay));
-                relay(far_copy, near, delay);
-            });
-        }
-    });
-    address
-}
-
-fn relay(mut from: TcpStream, to: TcpStream, delay: Duration) {
-    let (sender, receiver) = std::sync::mpsc::channel::<(Instant, Vec<u8>)>();
-    let mut writer = to;
-    std::thread::spawn(move || {
-        for (due, bytes) in receiver {
-            sleep(due.saturating_duration_since(Instant::now()));
-            if bytes.is_empty() || writer.write_all(&bytes).is_err() {
-                let _ = writer.shutdown(Shutdown::Both);
-                return;
-            }
-        }
-    });
-    let mut buffer = [0; 64 << 10];
-    loop {
-        let bytes = match from.read(&mut buffer) {
-            Ok(read) => buffer[..read].to_vec(),
-            Err(_) => Vec::new(),
-        };
-        let ended = bytes.is_empty();
-        if sender.send((Instant::now() + delay, bytes)).is_err() || ended {
-            return;
-        }
-    }
-}
-
 // --- The sidecar --------------------------------------------------------------------------------------
 
 pub struct Case {
@@ -636,30 +517,25 @@
 /// A small deployment: what one sidecar is told.
 pub struct Deployment {
     pub listen: SocketAddr,
-    pub console: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub known: String,
-    /// The object `settings`.
-    pub settings: String,
 }
 
 impl Deployment {
     pub fn new(listen: SocketAddr, discovery: SocketAddr, hosts: &[Host]) -> Deployment {
-        let known = list_json(FIRST_VERSION, true, hosts);
-        Deployment { listen, console: None, discovery, known, settings: gulf_depos() }
+        Deployment { listen, discovery, known: list_json(FIRST_VERSION, true, hosts) }
     }
 
     pub fn json(&self) -> String {
-        let console = self.console.map_or(String::new(), |address| format!(r#""console":"{address}","#));
         format!(
-            r#"{{"name":"n1","listen":"{}",{console}"discovery":"{}","seed":"{:016x}",
+            r#"{{"name":"n1","listen":"{}","discovery":"{}","seed":"{:016x}",
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{},
 "settings":{}}}"#,
             self.listen,
             self.discovery,
             Chance::new(u64::from(std::process::id())).bits(),
             self.known,
-            self.settings,
+            gulf_depos(),
         )
     }
 }
@@ -693,29 +569,8 @@
     )
 }
 
-/// The settings of the site tide-ledger, in its ranges; lists are asked for.
-pub fn tide_ledger() -> String {
-    let classes = [
-        ClassForm("quote", 110, 280, 1, "repeatable", "all", 5_000),
-        ClassForm("reserve", 150, 340, 2, "by_key", "all", 700),
-        ClassForm("settle", 180, 380, 4, "once", "all", 5_000),
-    ];
-    let classes: Vec<String> = classes.iter().map(class_json).collect();
-    format!(
-        r#"{{"classes":[{}],"tenants":[],"azs":["quay","mill","dunes"],"zone":0,"kinds":["t4"],
-"peers_total":3,"rank":0,"membership_mode":"subscribe","weights":"nominal","period":2.0,"over_share_worth":0.2,
-"telemetry":{{"how":"piggyback","columns":["inflight","util","qps"]}},
-"allowed":{{"cancel":false,"connect_timeout":60,"keepalive":6000,"max_attempts":3,"max_retry_after":400,"may_duplicate":false,"multiplex":1,"peers":false,"probes":true,"retry_after":true}},
-"fees":{{"cross_zone":0.01,"handshake":0.02,"probe":0.01,"waste":0.04,"late_fail":0.03}},
-"invariants":{{"answer_slack":20,"cold_share":0.2,"drain_grace":900,"fall":1200,"fall_multiple":2.8,"must_ask_in":10000,"warm_up":15000}}}}"#,
-        classes.join(",")
-    )
-}
-
-/// A running sidecar; killed when dropped.
-pub struct Sidecar {
-    id: u32,
-}
+/// A sidecar that has been started. All that the case has started ends with it.
+pub struct Sidecar(());
 
 /// Processes that the case has started and that it has not waited for.
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
@@ -733,7 +588,11 @@
         let folder = PathBuf::from(folder);
         let root = std::env::current_dir().expect("the current folder");
         let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
-        let name = format!("review-2-{}-{}", std::process::id(), folder.file_name().map_or("x".into(), |n| n.to_string_lossy().into_owned()));
+        let name = format!(
+            "review-2-{}-{}",
+            std::process::id(),
+            folder.file_name().map_or("x".into(), |n| n.to_string_lossy().into_owned())
+        );
         let temporary = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&temporary).expect("a temporary folder");
         Case { folder, root, trouble, temporary }
@@ -741,33 +600,18 @@
 
     /// Starts a sidecar by the command `run` of the deploy file.
     pub fn sidecar(&self, name: &str, deployment: &Deployment) -> Result<Sidecar, String> {
-        self.sidecar_with(name, deployment, None)
-    }
-
-    /// The same; with a listening socket of the platform, the sidecar inherits that as descriptor 3.
-    pub fn sidecar_with(
-        &self,
-        name: &str,
-        deployment: &Deployment,
-        socket: Option<&TcpListener>,
-    ) -> Result<Sidecar, String> {
-        self.start(name, deployment, socket).map_err(|error| format!("cannot start a sidecar: {error}"))
+        self.start(name, deployment).map_err(|error| format!("cannot start a sidecar: {error}"))
     }
 
-    fn start(
-        &self,
-        name: &str,
-        deployment: &Deployment,
-        socket: Option<&TcpListener>,
-    ) -> io::Result<Sidecar> {
+    fn start(&self, name: &str, deployment: &Deployment) -> io::Result<Sidecar> {
         let deploy = std::fs::read_to_string(self.root.join("deploy/balancer.toml"))?;
         let run = deploy
             .lines()
             .find_map(|line| line.strip_prefix("run = \"")?.split('"').next())
             .ok_or_else(|| io::Error::other("the deploy file has no run"))?
             .to_owned();
-        let config = self.configure(name, deployment)?;
-        // One folder for all processes of the sidecar, as it was left.
+        let config = self.temporary.join(format!("{name}.json"));
+        std::fs::write(&config, deployment.json())?;
         let private = self.temporary.join("tmp");
         std::fs::create_dir_all(&private)?;
         let log = std::fs::File::create(self.temporary.join(format!("{name}.log")))?;
@@ -784,30 +628,8 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .process_group(0);
-        if let Some(socket) = socket {
-            let descriptor = socket.as_raw_fd();
-            command.env("ROUTER_SOCKET_FD", "3");
-            // SAFETY: both calls are allowed between fork and exec.
-            unsafe {
-                command.pre_exec(move || match dup2(descriptor, 3) == 3 && fcntl(3, F_SETFD, 0) == 0 {
-                    true => Ok(()),
-                    false => Err(io::Error::last_os_error()),
-                });
-            }
-        }
-        let child = command.spawn()?;
-        let id = child.id();
-        lock(&CHILDREN).push(child);
-        Ok(Sidecar { id })
-    }
-
-    /// Replaces the file of a sidecar's configuration.
-    pub fn configure(&self, name: &str, deployment: &Deployment) -> io::Result<PathBuf> {
-        let (new, config) =
-            (self.temporary.join(format!("{name}.new")), self.temporary.join(format!("{name}.json")));
-        std::fs::write(&new, deployment.json())?;
-        std::fs::rename(&new, &config)?;
-        Ok(config)
+        lock(&CHILDREN).push(command.spawn()?);
+        Ok(Sidecar(()))
     }
 
     /// What the processes have written, by their names.
@@ -839,42 +661,15 @@
         }
         Err("the sidecar is not up after 10 s".to_owned())
     }
-
-    /// Sends a signal, if the process has not ended.
-    pub fn signal(&self, number: i32) {
-        let mut children = lock(&CHILDREN);
-        let child = children.iter_mut().find(|child| child.id() == self.id);
-        if child.is_some_and(|child| matches!(child.try_wait(), Ok(None))) {
-            // SAFETY: a signal to a process that this one has started and not waited for.
-            unsafe { kill(self.id as i32, number) };
-        }
-    }
 }
 
-impl Drop for Sidecar {
-    fn drop(&mut self) {
-        let mut children = lock(&CHILDREN);
-        if let Some(at) = children.iter().position(|child| child.id() == self.id) {
-            let mut child = children.swap_remove(at);
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
-/// The status of the answer to one call.
-pub fn call(address: SocketAddr, method: &str, path: &str) -> Option<u16> {
-    let mut stream = TcpStream::connect(address).ok()?;
+fn get_up(listen: SocketAddr) -> Option<u16> {
+    let mut stream = TcpStream::connect(listen).ok()?;
     stream.set_read_timeout(Some(ms(1_000))).ok()?;
-    let text = format!("{method} {path} HTTP/1.1\r\nHost: api.internal\r\nConnection: close\r\n\r\n");
-    stream.write_all(text.as_bytes()).ok()?;
+    stream.write_all(b"GET /up HTTP/1.1\r\nHost: api.internal\r\nConnection: close\r\n\r\n").ok()?;
     Some(read_head(&mut BufReader::new(stream)).ok()??.status())
 }
 
-pub fn get_up(listen: SocketAddr) -> Option<u16> {
-    call(listen, "GET", "/up")
-}
-
 // --- Clients -----------------------------------------------------------------------------------------
 
 static LAST_ID: AtomicU64 = AtomicU64::new(1);
@@ -885,11 +680,11 @@
 
 /// The head of a request of a class, in the protocol's form.
 pub fn request_text(class: &str, id: &str, timeout_ms: u64, body_bytes: usize) -> String {
-    let method = if matches!(class, "page-fetch" | "draft-save" | "quote") { "GET" } else { "POST" };
+    let method = if matches!(class, "page-fetch" | "draft-save") { "GET" } else { "POST" };
     let mut text = format!(
         "{method} /{class}?k=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\nX-Timeout-Ms: {timeout_ms}\r\n"
     );
-    if matches!(class, "errata-log" | "reserve") {
+    if class == "errata-log" {
         let _ = write!(text, "Idempotency-Key: key-{id}\r\n");
     }
     if method == "POST" {
@@ -941,22 +736,23 @@
         while !stop.is_set() {
             sleep(Duration::from_secs_f64(chance.exp(40.0) / 1e3));
             let id = new_id();
-            let Some(mut connection) = kept.take().or_else(|| Connection::open(listen).ok()) else { continue };
-            let timeout_ms = if class == "quote" { 250 } else { 800 };
-            if connection.send(request_text(class, &id, timeout_ms, 0).as_bytes()).is_err() {
+            let Some(mut connection) = kept.take().or_else(|| Connection::open(listen).ok()) else {
+                continue;
+            };
+            if connection.send(request_text(class, &id, 800, 0).as_bytes()).is_err() {
                 continue;
             }
             let answer = connection.answer(ms(3_000));
             let status = answer.as_ref().map_or(0, |(head, _)| head.status());
             record.line(format!("client {number}: {class} {id}: {status}"));
             counts[usize::from(status != 200)].fetch_add(1, Ordering::SeqCst);
-            let closes = |head: &Head| head.get("connection").is_some_and(|text| text.eq_ignore_ascii_case("close"));
+            let closes =
+                |head: &Head| head.get("connection").is_some_and(|text| text.eq_ignore_ascii_case("close"));
             kept = Some(connection).filter(|_| answer.is_ok_and(|(head, _)| !closes(&head)));
         }
     })
 }
 
-
 /// Counts by name, for the last line of a record.
 #[derive(Default)]
 pub struct Counts(Mutex<std::collections::BTreeMap<String, u64>>);
--- a/review/standin-2/left.rs
+++ b/review/standin-2/left.rs
@@ -24,10 +24,9 @@
         }
     });
     let (_upstreams, hosts) = world.upstreams(8, &behaviour);
-    let discovery = Discovery::new(hosts.clone(), world);
-    let service = discovery.serve();
+    let discovery = Discovery::start(hosts.clone(), world);
     let listen = free_address();
-    let sidecar = case.sidecar("n1", &Deployment::new(listen, service.address, &hosts))?;
+    let sidecar = case.sidecar("n1", &Deployment::new(listen, discovery.address, &hosts))?;
     sidecar.wait_until_up(listen)?;
     // A little usual traffic, so that the sidecar knows its upstreams.
     let mut usual = Connection::open(listen).map_err(|error| error.to_string())?;
@@ -49,12 +48,17 @@
         let mut connection = Connection::open(listen).map_err(|error| error.to_string())?;
         let sent_at = world.record.clock.now();
         connection.stream.write_all(&text).map_err(|error| error.to_string())?;
-        world.record.line(format!("client {round}: sent draft-save {first} and {BEHIND} errata entries at once"));
+        world
+            .record
+            .line(format!("client {round}: sent draft-save {first} and {BEHIND} errata entries at once"));
         let mut closed_at = f64::INFINITY;
         if case.trouble {
             drop(connection);
             closed_at = world.record.clock.now();
-            world.record.line(format!("client {round}: has closed its connection, {:.1} ms after it sent", closed_at - sent_at));
+            world.record.line(format!(
+                "client {round}: has closed its connection, {:.1} ms after it sent",
+                closed_at - sent_at
+            ));
             sleep(ms(1_500));
         } else {
             // It stays and reads some of its answers.
@@ -75,6 +79,8 @@
             }
         }
     }
-    world.record.line(format!("result: {broken} attempts began more than {LIMIT_MS} ms after their client had left"));
+    world
+        .record
+        .line(format!("result: {broken} attempts began more than {LIMIT_MS} ms after their client had left"));
     Ok(broken == 0)
 }
--- a/review/standin-2/pipeline.rs
+++ b/review/standin-2/pipeline.rs
@@ -18,10 +18,9 @@
     // 44 to 80 ms of work at a core of speed 0.9: within the brief's figures for copy-bill.
     let behaviour: Behaviour = std::sync::Arc::new(|_: &Arrived| Reply::Serve { after: ms(70) });
     let (_upstreams, hosts) = world.upstreams(8, &behaviour);
-    let discovery = Discovery::new(hosts.clone(), world);
-    let service = discovery.serve();
+    let discovery = Discovery::start(hosts.clone(), world);
     let listen = free_address();
-    let sidecar = case.sidecar("n1", &Deployment::new(listen, service.address, &hosts))?;
+    let sidecar = case.sidecar("n1", &Deployment::new(listen, discovery.address, &hosts))?;
     sidecar.wait_until_up(listen)?;
     let (mut late, mut answered, mut told_too_much) = (0, 0, 0);
     for round in 0..ROUNDS {
@@ -58,8 +57,9 @@
             let left = |at: f64| sent_at + TIMEOUT_MS as f64 - at;
             let arrived = lock(&world.arrived);
             let attempts = arrived.iter().filter(|arrived| arrived.id == *id);
-            told_too_much +=
-                attempts.filter(|attempt| attempt.timeout_ms as f64 > left(attempt.head_at).max(0.0) + TOLD_SLACK_MS).count();
+            told_too_much += attempts
+                .filter(|attempt| attempt.timeout_ms as f64 > left(attempt.head_at).max(0.0) + TOLD_SLACK_MS)
+                .count();
         }
         sleep(ms(200));
     }
--- a/review/standin-2/unread.rs
+++ b/review/standin-2/unread.rs
@@ -15,10 +15,9 @@
 pub fn run(case: &Case, world: &World) -> Result<bool, String> {
     let behaviour: Behaviour = Arc::new(|_: &Arrived| Reply::Serve { after: ms(35) });
     let (upstreams, hosts) = world.upstreams(9, &behaviour);
-    let discovery = Discovery::new(hosts.clone(), world);
-    let service = discovery.serve();
+    let discovery = Discovery::start(hosts.clone(), world);
     let listen = free_address();
-    let sidecar = case.sidecar("n1", &Deployment::new(listen, service.address, &hosts))?;
+    let sidecar = case.sidecar("n1", &Deployment::new(listen, discovery.address, &hosts))?;
     sidecar.wait_until_up(listen)?;
     let answers = [Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0))];
     let clients: Vec<_> =
@@ -32,8 +31,11 @@
     clients.into_iter().for_each(|client| drop(client.join()));
     let limit = changed_at + TOLD_MS + GRACE_MS;
     let arrived = lock(&world.arrived);
-    let sends: Vec<f64> =
-        arrived.iter().filter(|request| request.upstream == draining).map(|request| request.head_at).collect();
+    let sends: Vec<f64> = arrived
+        .iter()
+        .filter(|request| request.upstream == draining)
+        .map(|request| request.head_at)
+        .collect();
     let late = sends.iter().filter(|at| **at > limit).count();
     let last = sends.last().copied().unwrap_or(0.0) - changed_at;
     let [served, other] = answers.map(|count| count.load(Ordering::SeqCst));
