--- a/review/standin-2/harness.rs
+++ b/review/standin-2/harness.rs
@@ -350,9 +350,17 @@
 pub struct Upstream {
     pub number: usize,
     pub address: SocketAddr,
+    off: Stop,
+    /// Requests that were in work when it was switched off, by class.
+    pub cut_off: Arc<Counts>,
 }
 
 impl Upstream {
+    /// Ends it as a process ends: connections are reset, also under requests, and new ones are refused.
+    pub fn switch_off(&self) {
+        self.off.set();
+    }
+
     /// Its entry in the list. Eight upstreams make two pods of four.
     pub fn host(&self, health: &'static str) -> Host {
         Host {
@@ -390,20 +398,28 @@
     pub fn upstream(&self, number: usize, behaviour: Behaviour) -> Upstream {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
         let address = listener.local_addr().expect("its address");
+        listener.set_nonblocking(true).expect("a listener");
+        let (off, cut_off) = (Stop::default(), Arc::new(Counts::default()));
         let shared = UpstreamShared {
             record: self.record.clone(),
             arrived: self.arrived.clone(),
             behaviour,
             in_flight: Arc::default(),
+            off: off.clone(),
+            cut_off: cut_off.clone(),
         };
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while !shared.off.is_set() {
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep(Duration::from_micros(500));
+                    continue;
+                };
                 let shared = shared.clone();
                 // A connection ends with an error or without one.
                 std::thread::spawn(move || drop(serve_requests(stream, number, &shared)));
             }
         });
-        Upstream { number, address }
+        Upstream { number, address, off, cut_off }
     }
 }
 
@@ -414,6 +430,8 @@
     arrived: Arc<Mutex<Vec<Arrived>>>,
     behaviour: Behaviour,
     in_flight: Arc<AtomicU64>,
+    off: Stop,
+    cut_off: Arc<Counts>,
 }
 
 /// The body made for one request.
@@ -427,11 +445,16 @@
 }
 
 fn serve_requests(mut stream: TcpStream, number: usize, shared: &UpstreamShared) -> io::Result<()> {
-    let UpstreamShared { record, arrived, behaviour, in_flight } = shared;
+    let UpstreamShared { record, arrived, behaviour, in_flight, off, cut_off } = shared;
+    stream.set_nonblocking(false)?;
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     while let Some(head) = read_head(&mut reader)? {
         let head_at = record.clock.now();
+        if off.is_set() {
+            reset(&stream);
+            return Ok(());
+        }
         let target = head.first.split(' ').nth(1).unwrap_or("").to_owned();
         if target == "/alive" || target == "/metrics/load" {
             let held = in_flight.load(Ordering::SeqCst);
@@ -467,6 +490,12 @@
             Reply::Serve { after } => {
                 sleep(after);
                 in_flight.fetch_sub(1, Ordering::SeqCst);
+                if off.is_set() {
+                    cut_off.add(&request.class);
+                    record.line(format!("u{number}: switched off under {} {}", request.class, request.id));
+                    reset(&stream);
+                    return Ok(());
+                }
                 record.line(format!("u{number}: ran and answered {}", request.id));
                 stream.write_all(&answer)
             }
