Review 2: a case that panics ends with 2, and its sidecar with it

Cause: a panic in a stand-in ended it with 101 or went unseen in a thread, and the sidecar stayed. Change: a panic ends the processes that the case started, and exits with 2; checks, bounds and disruptions are as they were.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -21,6 +21,12 @@
         eprintln!("usage: standin NAME FOLDER");
         std::process::exit(2);
     };
+    // A fault of the case itself is no verdict: it ends with 2, and nothing that it has started stays behind.
+    std::panic::set_hook(Box::new(|panic| {
+        eprintln!("the case couldn't run: {panic}");
+        harness::end_children();
+        std::process::exit(2);
+    }));
     let (case, world) = (Case::new(folder), World::new());
     let record = world.record.clone();
     let path = case.folder.join("record.txt");
